--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/checksum_func.h
@@ -0,0 +1,15 @@
+/** @file checksum_func.h Checksum over whole answers. */
+#ifndef TURMERIC_COORDINATION_CHECKSUM_FUNC_H_
+#define TURMERIC_COORDINATION_CHECKSUM_FUNC_H_
+
+#include <cstdint>
+#include <string>
+
+namespace turmeric {
+
+/** @return XXH3 over @p body. Detects mixed parts, not malice. */
+uint64_t checksum(const std::string& body);
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_CHECKSUM_FUNC_H_
--- /dev/null
+++ b/packages/coordination/src/change_commit.cpp
@@ -0,0 +1,134 @@
+/** @file change_commit.cpp State machine of a commit. */
+#include "turmeric/coordination/change_commit_base.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+#include "turmeric/state/config_key_func.h"
+
+namespace turmeric {
+
+std::string scope_of(const std::string& key) {
+  const config_key parsed = parse_key(key);
+  if (parsed.kind != key_kind::service)
+    return key;
+  return make_key(key_kind::service,
+                  parsed.name.substr(0, parsed.name.find('/')));
+}
+
+change_commit::change_commit(commit_options options,
+                             revision base,
+                             std::string author,
+                             std::vector<config_entry> entries,
+                             random_source random)
+    : options_(options), random_(std::move(random)) {
+  change_.number = base + 1;
+  change_.change_id = random_();
+  change_.author = std::move(author);
+  change_.entries = std::move(entries);
+}
+
+commit_step change_commit::start() {
+  return create();
+}
+
+commit_step change_commit::create() {
+  reading_ = false;
+  commit_step step;
+  step.call.emplace();
+  step.call->op = platform_op::create;
+  step.call->name = log_object_name(change_.number);
+  step.call->value = to_json(change_);
+  step.call->timeout = options_.call_timeout;
+  return step;
+}
+
+commit_step change_commit::read_back() {
+  reading_ = true;
+  commit_step step;
+  step.call.emplace();
+  step.call->op = platform_op::get;
+  step.call->name = log_object_name(change_.number);
+  step.call->timeout = options_.call_timeout;
+  return step;
+}
+
+commit_step change_commit::failed(bool reading) {
+  ++failures_;
+  if (!reading)
+    maybe_committed_ = true;
+  commit_step step;
+  if (failures_ >= options_.max_failures) {
+    const auto code = maybe_committed_ ? result_code::commit_unknown
+                                       : result_code::platform_unavailable;
+    step.done.emplace(fail(
+        code, fmt::format("change {:x} as number {}: no answer after {} calls",
+                          change_.change_id, change_.number, failures_)));
+    return step;
+  }
+  // An unanswered create may have taken effect: settle it before all else.
+  step = read_back();
+  const time_us backoff =
+      std::min(options_.backoff_min << failures_, options_.backoff_max);
+  step.delay = options_.backoff_min +
+               static_cast<time_us>(random_() % static_cast<uint64_t>(backoff));
+  return step;
+}
+
+commit_step change_commit::on_reply(const platform_reply& reply) {
+  if (reply.status == platform_status::unavailable)
+    return failed(reading_);
+  return reading_ ? on_read(reply) : on_created(reply);
+}
+
+commit_step change_commit::on_created(const platform_reply& reply) {
+  if (reply.status != platform_status::ok)
+    return read_back();
+  commit_step step;
+  step.done.emplace(change_.number);
+  return step;
+}
+
+commit_step change_commit::on_read(const platform_reply& reply) {
+  if (reply.status == platform_status::not_found || reply.objects.empty())
+    return create();
+  commit_step step;
+  auto there = change_from_json(reply.objects.front().value);
+  if (!there) {
+    step.done.emplace(boost::outcome_v2::failure(there.error()));
+    return step;
+  }
+  const change& other = there.value();
+  if (other.change_id == change_.change_id) {
+    step.done.emplace(change_.number);
+    return step;
+  }
+  if (other.format > config_format) {
+    step.done.emplace(fail(result_code::format_too_new,
+                           "the log holds a change of a newer format"));
+    return step;
+  }
+  std::set<std::string> scopes;
+  for (const auto& entry : change_.entries)
+    scopes.insert(scope_of(entry.key));
+  for (const auto& entry : other.entries) {
+    if (scopes.count(scope_of(entry.key)) == 0)
+      continue;
+    step.done.emplace(
+        fail(result_code::conflict,
+             fmt::format("{} is set by change {} of {} and by this change of "
+                         "{}; plan again",
+                         entry.key, other.number, other.author,
+                         change_.author)));
+    return step;
+  }
+  // The number belongs to another change now, so an unanswered create of it
+  // cannot take effect any more.
+  maybe_committed_ = false;
+  ++change_.number;
+  return create();
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/control_core.cpp
@@ -0,0 +1,127 @@
+/** @file control_core.cpp Timers, forcing and publishing of revisions. */
+#include "turmeric/coordination/control_core_base.h"
+
+#include <algorithm>
+
+namespace turmeric {
+
+control_core::control_core(control_options options,
+                           member_record self,
+                           random_source random)
+    : options_(std::move(options)),
+      members_(options_.members, std::move(self), random),
+      random_(std::move(random)),
+      in_force_(std::make_shared<const service_index>()) {}
+
+template <typename T>
+void control_core::append(std::vector<T> from,
+                          std::vector<control_action>* out) {
+  for (auto& item : from)
+    out->emplace_back(std::move(item));
+}
+
+std::vector<control_action> control_core::tick(time_us now) {
+  std::vector<control_action> out;
+  if (started_ < 0)
+    started_ = now;
+  const bool paused =
+      last_tick_ >= 0 && now - last_tick_ > options_.members.suspicion;
+  last_tick_ = now;
+  // After a pause the traffic side waits for a snapshot made later.
+  if (paused)
+    published_ = false;
+  append(members_.tick(now), &out);
+  follow_platform(now, &out);
+  bring_into_force(now);
+  publish_if_changed(&out);
+  return out;
+}
+
+std::vector<control_action> control_core::receive(
+    time_us now,
+    endpoint from,
+    const gossip_message& message) {
+  std::vector<control_action> out;
+  append(members_.receive(now, from, message), &out);
+  if (message.kind == gossip_kind::config_pull)
+    on_pull(from, message, &out);
+  if (message.kind == gossip_kind::config_push)
+    on_push(now, message, &out);
+  maybe_pull(now, from, message, &out);
+  bring_into_force(now);
+  publish_if_changed(&out);
+  return out;
+}
+
+std::vector<control_action> control_core::leave(time_us now) {
+  std::vector<control_action> out;
+  members_.leave();
+  // Tells some members at once; the rest learn by gossip.
+  for (const auto& member : members_.sample(options_.push_fanout)) {
+    gossip_message m;
+    m.kind = gossip_kind::ping;
+    m.from = members_.self();
+    m.known = state_.current();
+    out.emplace_back(gossip_out{member.gossip, std::move(m)});
+  }
+  bring_into_force(now);
+  publish_if_changed(&out);
+  return out;
+}
+
+void control_core::learned(time_us now,
+                           revision before,
+                           std::vector<control_action>* out) {
+  if (state_.current() == before)
+    return;
+  members_.set_known(state_.current());
+  pending_.push_back({builder_.build(state_), now + options_.announce});
+  const config_delta delta = state_.since(before);
+  for (const auto& member : members_.sample(options_.push_fanout)) {
+    if (members_.known_by(member.id) < state_.current())
+      send_delta(member.gossip, delta, out);
+  }
+}
+
+void control_core::bring_into_force(time_us now) {
+  while (!pending_.empty()) {
+    const pending_force& next = pending_.front();
+    const bool agreed = members_.zone_holds(next.index->in_force);
+    if (!agreed && now < next.deadline)
+      return;
+    in_force_ = next.index;
+    pending_.pop_front();
+  }
+}
+
+void control_core::publish_if_changed(std::vector<control_action>* out) {
+  const bool same = published_ && published_members_ == members_.version() &&
+                    published_revision_ == in_force_->in_force;
+  if (same)
+    return;
+  auto table = std::make_shared<route_table>();
+  table->index = in_force_;
+  table->self = members_.self();
+  table->members = members_.view();
+  published_ = true;
+  published_members_ = members_.version();
+  published_revision_ = in_force_->in_force;
+  out->emplace_back(publish_routes{std::move(table)});
+}
+
+control_status control_core::status(time_us now) const {
+  control_status s;
+  s.name = members_.self().name;
+  s.known = state_.current();
+  s.in_force = in_force_->in_force;
+  s.since_platform = last_contact_ < 0 ? -1 : now - last_contact_;
+  s.blocked_by_format = blocked_by_format_;
+  s.members = members_.view();
+  return s;
+}
+
+bool control_core::told_to_leave() const {
+  return in_force_->leaving.count(members_.self().id) > 0;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/control_core_config.cpp
@@ -0,0 +1,255 @@
+/** @file control_core_config.cpp Following the change log, from the platform
+ * and from peers. */
+#include <algorithm>
+
+#include "turmeric/coordination/control_core_base.h"
+
+namespace turmeric {
+namespace {
+
+/** Role name hashed into the rendezvous choice of watchers. */
+constexpr uint64_t watcher_role = 0x77617463686572;
+/** A call that its adapter never ended is given up after this many of its
+ * own time-outs. */
+constexpr int lost_call_timeouts = 3;
+
+}  // namespace
+
+void control_core::call(platform_call c,
+                        time_us now,
+                        std::vector<control_action>* out) {
+  c.id = ++next_call_id_;
+  open_call_ = c.id;
+  open_call_until_ = now + c.timeout * lost_call_timeouts;
+  open_ = c;
+  out->emplace_back(std::move(c));
+}
+
+void control_core::call_failed(time_us now) {
+  backoff_ = std::clamp(backoff_ * 2, options_.retry_min, options_.retry_max);
+  // Full jitter keeps the watchers of all zones from returning together.
+  const auto jitter =
+      static_cast<time_us>(random_() % static_cast<uint64_t>(backoff_));
+  next_call_at_ = now + options_.retry_min + jitter;
+}
+
+void control_core::follow_platform(time_us now,
+                                   std::vector<control_action>* out) {
+  if (open_call_ != 0 && now >= open_call_until_) {
+    open_call_ = 0;
+    call_failed(now);
+  }
+  if (open_call_ != 0 || now < next_call_at_ || blocked_by_format_)
+    return;
+  const bool settled = now - started_ >= options_.peers_first;
+  const bool watcher =
+      members_.picked_for(watcher_role, options_.watchers_per_zone);
+  if (!settled || !watcher)
+    return;
+  platform_call c;
+  if (need_snapshot_ && state_.current() == 0) {
+    c.op = platform_op::get;
+    c.name = std::string(snapshot_name);
+    c.timeout = options_.call_timeout;
+  } else {
+    c.op = platform_op::watch;
+    c.name = log_object_name(state_.current());
+    c.timeout = options_.watch_timeout;
+  }
+  call(std::move(c), now, out);
+}
+
+std::vector<control_action> control_core::platform(
+    time_us now,
+    const platform_reply& reply) {
+  std::vector<control_action> out;
+  if (reply.id != open_call_)
+    return out;
+  open_call_ = 0;
+  if (reply.status == platform_status::unavailable) {
+    snapshot_.reset();
+    call_failed(now);
+    return out;
+  }
+  last_contact_ = now;
+  backoff_ = 0;
+  next_call_at_ = now;
+  if (open_.op == platform_op::watch)
+    on_watch(now, reply, &out);
+  else if (snapshot_)
+    on_snapshot_part(now, reply, &out);
+  else
+    on_snapshot_index(now, reply, &out);
+  bring_into_force(now);
+  publish_if_changed(&out);
+  return out;
+}
+
+void control_core::on_watch(time_us now,
+                            const platform_reply& reply,
+                            std::vector<control_action>* out) {
+  if (reply.status == platform_status::gone) {
+    platform_call c;
+    c.op = platform_op::get;
+    c.name = std::string(snapshot_name);
+    c.timeout = options_.call_timeout;
+    call(std::move(c), now, out);
+    return;
+  }
+  const revision before = state_.current();
+  for (const auto& object : reply.objects) {
+    auto parsed = change_from_json(object.value);
+    if (!parsed)
+      continue;
+    auto tested = state_.test(parsed.value());
+    if (tested) {
+      state_.apply(parsed.value());
+    } else if (tested.error().code == result_code::format_too_new) {
+      blocked_by_format_ = true;
+      break;
+    }
+  }
+  // A gap in the answer leaves nothing applied; the next watch asks again,
+  // but not in a tight loop.
+  if (!reply.objects.empty() && state_.current() == before)
+    next_call_at_ = now + options_.retry_min;
+  learned(now, before, out);
+  follow_platform(now, out);
+}
+
+void control_core::on_snapshot_index(time_us now,
+                                     const platform_reply& reply,
+                                     std::vector<control_action>* out) {
+  if (reply.status == platform_status::not_found || reply.objects.empty()) {
+    need_snapshot_ = false;
+    follow_platform(now, out);
+    return;
+  }
+  auto index = snapshot_index_from_json(reply.objects.front().value);
+  if (!index) {
+    blocked_by_format_ = index.error().code == result_code::format_too_new;
+    call_failed(now);
+    return;
+  }
+  snapshot_.emplace();
+  snapshot_->index = index.value();
+  read_next_part(now, out);
+}
+
+void control_core::read_next_part(time_us now,
+                                  std::vector<control_action>* out) {
+  if (snapshot_->next_part < snapshot_->index.parts.size()) {
+    platform_call c;
+    c.op = platform_op::get;
+    c.name = snapshot_->index.parts[snapshot_->next_part++];
+    c.timeout = options_.call_timeout;
+    call(std::move(c), now, out);
+    return;
+  }
+  const revision before = state_.current();
+  const config_delta whole{snapshot_->index.format, 0, snapshot_->index.at,
+                           std::move(snapshot_->entries)};
+  snapshot_.reset();
+  need_snapshot_ = false;
+  if (state_.apply(whole))
+    learned(now, before, out);
+  follow_platform(now, out);
+}
+
+void control_core::on_snapshot_part(time_us now,
+                                    const platform_reply& reply,
+                                    std::vector<control_action>* out) {
+  const bool found = reply.status == platform_status::ok &&
+                     !reply.objects.empty();
+  auto entries = entries_from_json(found ? reply.objects.front().value : "");
+  if (!entries) {
+    // A newer snapshot may have replaced the parts; start over.
+    snapshot_.reset();
+    call_failed(now);
+    return;
+  }
+  for (auto& entry : entries.value())
+    snapshot_->entries.push_back(std::move(entry));
+  read_next_part(now, out);
+}
+
+void control_core::maybe_pull(time_us now,
+                              endpoint from,
+                              const gossip_message& message,
+                              std::vector<control_action>* out) {
+  const bool behind = message.known > state_.current();
+  if (!behind || blocked_by_format_ || now < next_pull_at_)
+    return;
+  if (message.kind == gossip_kind::config_push && assembling_)
+    return;
+  next_pull_at_ = now + options_.pull_interval;
+  gossip_message pull;
+  pull.kind = gossip_kind::config_pull;
+  pull.from = members_.self();
+  pull.known = state_.current();
+  out->emplace_back(gossip_out{from, std::move(pull)});
+}
+
+void control_core::on_pull(endpoint to,
+                           const gossip_message& message,
+                           std::vector<control_action>* out) {
+  if (message.known < state_.current())
+    send_delta(to, state_.since(message.known), out);
+}
+
+void control_core::send_delta(endpoint to,
+                              const config_delta& delta,
+                              std::vector<control_action>* out) {
+  std::vector<std::vector<config_entry>> fragments(1);
+  size_t bytes = 0;
+  for (const auto& entry : delta.entries) {
+    if (bytes > 0 && bytes + entry.value.size() > options_.fragment_bytes) {
+      fragments.emplace_back();
+      bytes = 0;
+    }
+    bytes += entry.value.size() + entry.key.size();
+    fragments.back().push_back(entry);
+  }
+  for (size_t i = 0; i < fragments.size(); ++i) {
+    gossip_message push;
+    push.kind = gossip_kind::config_push;
+    push.from = members_.self();
+    push.known = state_.current();
+    push.delta = {delta.format, delta.from, delta.to, std::move(fragments[i])};
+    push.fragment = static_cast<uint16_t>(i);
+    push.fragments = static_cast<uint16_t>(fragments.size());
+    out->emplace_back(gossip_out{to, std::move(push)});
+  }
+}
+
+void control_core::on_push(time_us now,
+                           const gossip_message& message,
+                           std::vector<control_action>* out) {
+  const config_delta& part = message.delta;
+  if (part.to <= state_.current() || part.from > state_.current() ||
+      message.fragment >= message.fragments || blocked_by_format_) {
+    return;
+  }
+  if (part.format > config_format) {
+    blocked_by_format_ = true;
+    return;
+  }
+  const bool continues = assembling_ && assembling_->from == part.from &&
+                         assembling_->to == part.to;
+  if (!continues)
+    assembling_ = assembling_delta{part.from, part.to, {}};
+  assembling_->fragments[message.fragment] = part.entries;
+  if (assembling_->fragments.size() < message.fragments)
+    return;
+  config_delta whole{part.format, part.from, part.to, {}};
+  for (auto& [number, entries] : assembling_->fragments) {
+    for (auto& entry : entries)
+      whole.entries.push_back(std::move(entry));
+  }
+  assembling_.reset();
+  const revision before = state_.current();
+  if (state_.apply(whole))
+    learned(now, before, out);
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/membership.cpp
@@ -0,0 +1,404 @@
+/** @file membership.cpp Probing, suspicion and dissemination. */
+#include "turmeric/coordination/membership_base.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace turmeric {
+namespace {
+
+/** Every how many probes one goes to another zone, to a dead member or to a
+ * seed, so that healed partitions are found. */
+constexpr uint64_t remote_probe_every = 4;
+constexpr uint64_t dead_probe_every = 5;
+/** Members of the own zone named to a receiver in another zone. */
+constexpr size_t remote_sample = 2;
+/** Members in one sync reply; more follow by piggyback. */
+constexpr size_t sync_members = 128;
+/** Factor on the logarithm of the zone's size. */
+constexpr unsigned transmission_factor = 3;
+/** Indirect probing gets this many further probe timeouts. */
+constexpr int indirect_timeouts = 2;
+
+bool usable(const member_record& r) {
+  return r.state == member_state::live || r.state == member_state::suspect;
+}
+
+/** @return Whether @p a replaces @p b. */
+bool newer(const member_record& a, const member_record& b) {
+  if (a.incarnation != b.incarnation)
+    return a.incarnation > b.incarnation;
+  // Leaving and dead are final within an incarnation unless refuted.
+  if (a.refutes != b.refutes)
+    return a.refutes > b.refutes;
+  return a.state > b.state;
+}
+
+}  // namespace
+
+membership::membership(membership_options options,
+                       member_record self,
+                       random_source random)
+    : options_(std::move(options)),
+      self_(std::move(self)),
+      random_(std::move(random)) {
+  self_sends_left_ = transmissions();
+}
+
+unsigned membership::transmissions() const {
+  unsigned log2 = 1;
+  for (size_t n = peers_.size() + 1; n > 1; n /= 2)
+    ++log2;
+  return transmission_factor * log2;
+}
+
+gossip_message membership::make(gossip_kind kind, uint64_t sequence) {
+  gossip_message m;
+  m.kind = kind;
+  m.from = self_;
+  m.sequence = sequence;
+  m.known = known_;
+  return m;
+}
+
+void membership::add_updates(gossip_message* message, zone_id receiver_zone) {
+  std::vector<peer*> pending;
+  for (auto& [id, p] : peers_) {
+    const bool concerns = p.record.zone == receiver_zone ||
+                          p.record.zone == self_.zone;
+    if (p.sends_left > 0 && concerns)
+      pending.push_back(&p);
+  }
+  const size_t count = std::min(options_.updates_per_message, pending.size());
+  std::partial_sort(
+      pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count),
+      pending.end(),
+      [](const peer* a, const peer* b) { return a->sends_left > b->sends_left; });
+  for (size_t i = 0; i < count; ++i) {
+    message->updates.push_back(pending[i]->record);
+    --pending[i]->sends_left;
+  }
+  if (receiver_zone != self_.zone)
+    add_zone_sample(message);
+}
+
+void membership::add_zone_sample(gossip_message* message) {
+  for (const auto& record : sample(remote_sample)) {
+    if (record.zone == self_.zone)
+      message->updates.push_back(record);
+  }
+}
+
+std::vector<member_record> membership::view() const {
+  std::vector<member_record> out = {self_};
+  for (const auto& [id, p] : peers_)
+    out.push_back(p.record);
+  return out;
+}
+
+revision membership::known_by(member_id id) const {
+  const auto it = peers_.find(id);
+  return it == peers_.end() ? 0 : it->second.known;
+}
+
+bool membership::zone_holds(revision r) const {
+  for (const auto& [id, p] : peers_) {
+    if (p.record.zone == self_.zone && usable(p.record) && p.known < r)
+      return false;
+  }
+  return known_ >= r;
+}
+
+std::vector<member_record> membership::sample(size_t count) {
+  std::vector<const peer*> candidates;
+  for (const auto& [id, p] : peers_) {
+    if (usable(p.record))
+      candidates.push_back(&p);
+  }
+  std::vector<member_record> out;
+  while (out.size() < count && !candidates.empty()) {
+    const size_t i = random_() % candidates.size();
+    out.push_back(candidates[i]->record);
+    candidates[i] = candidates.back();
+    candidates.pop_back();
+  }
+  return out;
+}
+
+bool membership::has_peers() const {
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [](const auto& p) { return usable(p.second.record); });
+}
+
+bool membership::picked_for(uint64_t role, size_t count) const {
+  const uint64_t own_score = hash_pair(role, self_.id.value);
+  size_t better = 0;
+  for (const auto& [id, p] : peers_) {
+    const bool rival = p.record.zone == self_.zone &&
+                       p.record.state == member_state::live;
+    if (rival && hash_pair(role, id.value) > own_score)
+      ++better;
+  }
+  return better < count;
+}
+
+void membership::leave() {
+  if (self_.state == member_state::leaving)
+    return;
+  self_.state = member_state::leaving;
+  ++self_.refutes;
+  self_sends_left_ = transmissions();
+  ++version_;
+}
+
+void membership::mark_changed(peer* p) {
+  p->sends_left = transmissions();
+  ++version_;
+}
+
+bool membership::wanted(const member_record& record) const {
+  if (record.zone == self_.zone)
+    return true;
+  if (record.state == member_state::dead)
+    return false;
+  size_t contacts = 0;
+  for (const auto& [id, p] : peers_) {
+    if (p.record.zone == record.zone && usable(p.record))
+      ++contacts;
+  }
+  return contacts < options_.contacts_per_zone;
+}
+
+void membership::refute(const member_record& record) {
+  const bool about_this_life = record.incarnation == self_.incarnation;
+  if (!about_this_life || record.refutes < self_.refutes)
+    return;
+  if (record.state == self_.state || record.state == member_state::live)
+    return;
+  self_.refutes = record.refutes + 1;
+  self_sends_left_ = transmissions();
+}
+
+void membership::merge(time_us now, const member_record& record) {
+  if (record.id == self_.id) {
+    refute(record);
+    return;
+  }
+  const auto it = peers_.find(record.id);
+  if (it == peers_.end()) {
+    if (!wanted(record))
+      return;
+    peer& p = peers_[record.id];
+    p.record = record;
+    p.suspect_since = now;
+    p.dead_since = now;
+    mark_changed(&p);
+    return;
+  }
+  peer& p = it->second;
+  if (!newer(record, p.record))
+    return;
+  if (record.incarnation != p.record.incarnation)
+    p.known = 0;
+  p.record = record;
+  if (record.state == member_state::suspect)
+    p.suspect_since = now;
+  if (record.state == member_state::dead)
+    p.dead_since = now;
+  mark_changed(&p);
+}
+
+void membership::heard_from(time_us now, const gossip_message& message) {
+  // A direct message proves life, but only the sender's own refutation may
+  // override what others hold against this incarnation.
+  merge(now, message.from);
+  const auto it = peers_.find(message.from.id);
+  if (it != peers_.end() &&
+      it->second.record.incarnation == message.from.incarnation) {
+    it->second.known = std::max(it->second.known, message.known);
+  }
+  for (const auto& record : message.updates)
+    merge(now, record);
+}
+
+std::vector<gossip_out> membership::receive(time_us now,
+                                            endpoint from,
+                                            const gossip_message& message) {
+  std::vector<gossip_out> out;
+  heard_from(now, message);
+  switch (message.kind) {
+    case gossip_kind::ping: {
+      gossip_message ack = make(gossip_kind::ack, message.sequence);
+      // Tells the sender what is held against it, so that it can refute.
+      const auto it = peers_.find(message.from.id);
+      if (it != peers_.end() && it->second.record.state != message.from.state)
+        ack.updates.push_back(it->second.record);
+      add_updates(&ack, message.from.zone);
+      out.push_back({from, std::move(ack)});
+      break;
+    }
+    case gossip_kind::ack: {
+      const auto it = probes_.find(message.sequence);
+      if (it == probes_.end())
+        break;
+      if (it->second.their_sequence != 0) {
+        gossip_message relayed =
+            make(gossip_kind::ack, it->second.their_sequence);
+        relayed.updates.push_back(message.from);
+        out.push_back({it->second.on_behalf_of, std::move(relayed)});
+      }
+      probes_.erase(it);
+      break;
+    }
+    case gossip_kind::ping_request: {
+      const auto it = peers_.find(message.subject);
+      if (it == peers_.end())
+        break;
+      const uint64_t sequence = ++sequence_;
+      probe p{message.subject, now, true, from, message.sequence};
+      probes_[sequence] = p;
+      out.push_back(
+          {it->second.record.gossip, make(gossip_kind::ping, sequence)});
+      break;
+    }
+    case gossip_kind::sync_request: {
+      gossip_message reply = make(gossip_kind::sync_reply, message.sequence);
+      for (const auto& record : view()) {
+        const bool stale = record.state == member_state::dead;
+        if (reply.updates.size() < sync_members && !stale)
+          reply.updates.push_back(record);
+      }
+      out.push_back({from, std::move(reply)});
+      break;
+    }
+    default:
+      break;
+  }
+  return out;
+}
+
+member_id membership::next_probe_target() {
+  ++ticks_;
+  const bool remote = ticks_ % remote_probe_every == 0;
+  const bool dead = ticks_ % dead_probe_every == 0;
+  if (remote || dead) {
+    std::vector<member_id> special;
+    for (const auto& [id, p] : peers_) {
+      const bool is_dead = p.record.state == member_state::dead;
+      const bool is_remote = p.record.zone != self_.zone;
+      if (dead ? is_dead : is_remote && !is_dead)
+        special.push_back(id);
+    }
+    if (!special.empty())
+      return special[random_() % special.size()];
+  }
+  if (round_.empty()) {
+    for (const auto& [id, p] : peers_) {
+      if (p.record.zone == self_.zone && p.record.state != member_state::dead)
+        round_.push_back(id);
+    }
+    for (size_t i = round_.size(); i > 1; --i)
+      std::swap(round_[i - 1], round_[random_() % i]);
+  }
+  if (round_.empty())
+    return member_id{};
+  const member_id next = round_.back();
+  round_.pop_back();
+  return next;
+}
+
+void membership::probe_next(time_us now, std::vector<gossip_out>* out) {
+  const member_id target = next_probe_target();
+  const auto it = peers_.find(target);
+  if (!target.valid() || it == peers_.end())
+    return;
+  const uint64_t sequence = ++sequence_;
+  probes_[sequence] = probe{target, now, false, {}, 0};
+  gossip_message ping = make(gossip_kind::ping, sequence);
+  // What is held against the receiver travels first, so that it can refute.
+  if (it->second.record.state != member_state::live)
+    ping.updates.push_back(it->second.record);
+  add_updates(&ping, it->second.record.zone);
+  out->push_back({it->second.record.gossip, std::move(ping)});
+}
+
+void membership::check_probes(time_us now, std::vector<gossip_out>* out) {
+  for (auto it = probes_.begin(); it != probes_.end();) {
+    probe& p = it->second;
+    const time_us age = now - p.sent;
+    const bool own = p.their_sequence == 0;
+    if (own && !p.indirect && age >= options_.probe_timeout) {
+      p.indirect = true;
+      for (const auto& helper : sample(options_.indirect_probes)) {
+        if (helper.id == p.target)
+          continue;
+        gossip_message ask = make(gossip_kind::ping_request, it->first);
+        ask.subject = p.target;
+        out->push_back({helper.gossip, std::move(ask)});
+      }
+    }
+    if (age < options_.probe_timeout * (1 + indirect_timeouts)) {
+      ++it;
+      continue;
+    }
+    const auto found = peers_.find(p.target);
+    const bool live = found != peers_.end() &&
+                      found->second.record.state == member_state::live;
+    const bool leaving = found != peers_.end() &&
+                         found->second.record.state == member_state::leaving;
+    if (own && (live || leaving)) {
+      found->second.record.state =
+          leaving ? member_state::dead : member_state::suspect;
+      found->second.suspect_since = now;
+      found->second.dead_since = now;
+      mark_changed(&found->second);
+    }
+    it = probes_.erase(it);
+  }
+}
+
+void membership::check_suspects(time_us now) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    peer& p = it->second;
+    const bool suspect = p.record.state == member_state::suspect;
+    if (suspect && now - p.suspect_since >= options_.suspicion) {
+      p.record.state = member_state::dead;
+      p.dead_since = now;
+      mark_changed(&p);
+    }
+    const bool forget = p.record.state == member_state::dead &&
+                        now - p.dead_since >= options_.tombstone;
+    if (forget) {
+      it = peers_.erase(it);
+      ++version_;
+    } else {
+      ++it;
+    }
+  }
+}
+
+void membership::contact_lost(std::vector<gossip_out>* out) {
+  if (options_.seeds.empty() || ticks_ % dead_probe_every != 1)
+    return;
+  const endpoint seed = options_.seeds[random_() % options_.seeds.size()];
+  const bool known = std::any_of(
+      peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return entry.second.record.gossip == seed && usable(entry.second.record);
+      });
+  if (!known && !(seed == self_.gossip))
+    out->push_back({seed, make(gossip_kind::sync_request, ++sequence_)});
+}
+
+std::vector<gossip_out> membership::tick(time_us now) {
+  std::vector<gossip_out> out;
+  check_probes(now, &out);
+  check_suspects(now);
+  if (now < next_probe_at_)
+    return out;
+  next_probe_at_ = now + options_.interval;
+  probe_next(now, &out);
+  contact_lost(&out);
+  return out;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/traffic_core.cpp
@@ -0,0 +1,219 @@
+/** @file traffic_core.cpp Entry points, forwarding and timers. */
+#include <algorithm>
+
+#include "traffic_core_internal.h"
+
+namespace turmeric {
+namespace {
+
+/** A service that a packet is about, whatever its type. */
+service_id service_of(const packet& p) {
+  return std::visit([](const auto& m) { return m.service; }, p);
+}
+
+}  // namespace
+
+traffic_core::traffic_core(traffic_options options,
+                           member_record self,
+                           random_source random,
+                           traffic_plants plants)
+    : options_(std::move(options)),
+      self_(std::move(self)),
+      random_(std::move(random)),
+      plants_(plants) {}
+
+std::vector<traffic_action> traffic_core::routes(
+    time_us now,
+    std::shared_ptr<const route_table> table) {
+  actions out;
+  if (started_ < 0)
+    started_ = now;
+  table_ = std::move(table);
+  doubtful_ = false;
+  last_seen_ = now;
+  for (const target_id target : table_->index->draining)
+    drained_at_.emplace(target, now);
+  for (auto it = drained_at_.begin(); it != drained_at_.end();) {
+    const bool still = table_->index->draining.count(it->first) > 0;
+    it = still ? std::next(it) : drained_at_.erase(it);
+  }
+  release_moved_targets(now, &out);
+  pump_all(now, &out);
+  return out;
+}
+
+std::vector<traffic_action> traffic_core::from_caller(time_us now,
+                                                      endpoint from,
+                                                      packet body) {
+  actions out;
+  metrics_.packet_in();
+  std::visit(
+      [&](auto& m) {
+        using message = std::decay_t<decltype(m)>;
+        constexpr bool from_callers =
+            std::is_same_v<message, permit_request> ||
+            std::is_same_v<message, run_request> ||
+            std::is_same_v<message, cancel_request> ||
+            std::is_same_v<message, datagram>;
+        if constexpr (!from_callers) {
+          m.service = service_id{};  // Only balancers may send these.
+        } else {
+          m.reply_to = from;
+          m.hops = 0;
+        }
+      },
+      body);
+  handle(now, std::move(body), &out);
+  return out;
+}
+
+std::vector<traffic_action> traffic_core::from_peer(time_us now, packet body) {
+  actions out;
+  metrics_.packet_in();
+  handle(now, std::move(body), &out);
+  return out;
+}
+
+void traffic_core::handle(time_us now, packet body, actions* out) {
+  if (last_seen_ >= 0 && now - last_seen_ > options_.pause_limit)
+    doubtful_ = true;
+  if (!table_) {
+    count(result_code::no_route);
+    return;
+  }
+  if (!service_of(body).valid()) {
+    count(result_code::bad_packet);
+    return;
+  }
+  std::visit([&](auto& m) { on(now, std::move(m), out); }, body);
+}
+
+void traffic_core::on(time_us, const permit_grant&, actions*) {
+  count(result_code::bad_packet);
+}
+
+void traffic_core::on(time_us, const answer_part&, actions*) {
+  count(result_code::bad_packet);
+}
+
+void traffic_core::on(time_us now, permit_request m, actions* out) {
+  const auto found = table_->index->services.find(m.service);
+  if (found == table_->index->services.end()) {
+    answer_at_once(m, result_code::refused_unknown_service,
+                   options_.no_target_retry, out);
+    return;
+  }
+  const target_config* target = pick_target(*found->second, m);
+  if (target == nullptr) {
+    answer_at_once(m, result_code::refused_no_target, options_.no_target_retry,
+                   out);
+    return;
+  }
+  m.previous = target->id;
+  if (target->zone != self_.zone) {
+    forward(std::move(m), table_->contact_in(target->zone, target->id.value),
+            out);
+    return;
+  }
+  const member_id home = table_->home_of(*target);
+  if (home != self_.id) {
+    if (!home.valid())
+      answer_at_once(m, result_code::refused_no_target,
+                     options_.no_target_retry, out);
+    else
+      forward(std::move(m), table_->find_member(home), out);
+    return;
+  }
+  if (stopping_ || doubtful_ || attempts_.size() >= options_.max_attempts) {
+    answer_at_once(m, result_code::refused_stopping, us_per_ms, out);
+    return;
+  }
+  permit_grant grant{m.service, m.flow, m.request, {}};
+  grant.granted = issue(now, m.service, m.flow, m.request, target->id);
+  out->emplace_back(send_packet{m.reply_to, packet(std::move(grant)), false});
+}
+
+const target_config* traffic_core::pick_target(const service_config& service,
+                                               const permit_request& m) const {
+  const service_index& index = *table_->index;
+  const target_place* place = index.find(m.service, m.previous);
+  if (place != nullptr && may_work_on(*place->target))
+    return place->target;
+  return choose_target(index, service, m.flow);
+}
+
+bool traffic_core::may_work_on(const target_config& target) const {
+  const service_index& index = *table_->index;
+  const bool zone_fine = plants_.ignore_zone_out || index.reachable(target);
+  const bool drain_fine =
+      plants_.ignore_drain || index.draining.count(target.id) == 0;
+  return zone_fine && drain_fine;
+}
+
+void traffic_core::answer_at_once(const permit_request& m,
+                                  result_code code,
+                                  time_us retry_after,
+                                  actions* out) {
+  count(code);
+  answer_part part;
+  part.service = m.service;
+  part.request = m.request;
+  part.code = code;
+  part.retry_after_ms = static_cast<uint32_t>(retry_after / us_per_ms);
+  out->emplace_back(send_packet{m.reply_to, packet(std::move(part)), false});
+}
+
+void traffic_core::answer_unknown(const run_request& m, actions* out) {
+  count(result_code::unknown_outcome);
+  answer_part part;
+  part.service = m.service;
+  part.request = m.request;
+  part.serial = m.right.serial;
+  part.nonce = m.right.nonce;
+  part.code = result_code::unknown_outcome;
+  out->emplace_back(send_packet{m.reply_to, packet(std::move(part)), false});
+}
+
+void traffic_core::on(time_us, datagram m, actions* out) {
+  const auto found = table_->index->services.find(m.service);
+  if (found == table_->index->services.end()) {
+    count(result_code::refused_unknown_service);
+    return;
+  }
+  const target_config* target =
+      choose_target(*table_->index, *found->second, m.flow);
+  if (target == nullptr) {
+    count(result_code::refused_no_target);
+    return;
+  }
+  out->emplace_back(send_packet{target->address, packet(std::move(m)), false});
+}
+
+std::vector<traffic_action> traffic_core::tick(time_us now) {
+  actions out;
+  if (last_seen_ >= 0 && now - last_seen_ > options_.pause_limit)
+    doubtful_ = true;
+  last_seen_ = now;
+  pump_all(now, &out);
+  cancel_overdue(now, &out);
+  forget_old(now);
+  return out;
+}
+
+void traffic_core::forget_old(time_us now) {
+  while (!by_age_.empty()) {
+    const auto it = attempts_.find(by_age_.front());
+    if (it != attempts_.end()) {
+      const attempt& a = it->second;
+      const bool open = a.at == stage::waiting || a.at == stage::running;
+      const bool crowded = kept_bytes_ > options_.max_kept_bytes;
+      if (open || (now < a.forget && !crowded))
+        return;
+      kept_bytes_ -= a.at == stage::done ? a.body.size() : 0;
+      attempts_.erase(it);
+    }
+    by_age_.pop_front();
+  }
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/protocol/src/codec.cpp
@@ -0,0 +1,184 @@
+/** @file codec.cpp Encoding, decoding and signing of datagrams. */
+#include "turmeric/protocol/codec_func.h"
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+#include <array>
+
+#include "fields_internal.h"
+
+namespace turmeric {
+namespace {
+
+constexpr size_t key_bytes = 32;
+constexpr size_t tag_bytes = 16;
+/** Bounds on what a datagram may make the decoder allocate. */
+constexpr size_t max_items = 8192;
+constexpr size_t max_bytes = 65536;
+constexpr size_t max_depth = 8;
+/** Kinds of datagrams that must not be taken for each other. */
+constexpr uint32_t packet_domain = 1;
+constexpr uint32_t gossip_domain = 2;
+
+std::string raw_tag(const codec_context& context,
+                    const char* data,
+                    size_t size) {
+  std::array<unsigned char, tag_bytes> tag{};
+  crypto_generichash(tag.data(), tag.size(),
+                     reinterpret_cast<const unsigned char*>(data), size,
+                     reinterpret_cast<const unsigned char*>(context.key.data()),
+                     context.key.size());
+  return {reinterpret_cast<const char*>(tag.data()), tag.size()};
+}
+
+template <typename Body>
+std::string encode_body(const codec_context& context,
+                        uint32_t domain,
+                        uint32_t kind,
+                        const Body& body) {
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(5);
+  packer.pack(datagram_version);
+  packer.pack(domain);
+  packer.pack(context.cluster);
+  packer.pack(kind);
+  packer.pack(body);
+  std::string out(buffer.data(), buffer.size());
+  if (!context.key.empty())
+    out += raw_tag(context, out.data(), out.size());
+  return out;
+}
+
+/** Checks tag and envelope, then hands (kind, body) to @p read. */
+template <typename Read>
+result<void> open_envelope(const codec_context& context,
+                           uint32_t domain,
+                           const char* data,
+                           size_t size,
+                           const Read& read) {
+  if (!context.key.empty()) {
+    if (size < tag_bytes)
+      return fail(result_code::bad_packet, "shorter than its tag");
+    size -= tag_bytes;
+    const std::string expected = raw_tag(context, data, size);
+    if (sodium_memcmp(expected.data(), data + size, tag_bytes) != 0)
+      return fail(result_code::bad_signature, "tag does not match");
+  }
+  try {
+    const msgpack::unpack_limit limit(max_items, max_items, max_bytes,
+                                      max_bytes, max_bytes, max_depth);
+    const auto handle =
+        msgpack::unpack(data, size, nullptr, nullptr, limit);
+    const msgpack::object& o = handle.get();
+    if (o.type != msgpack::type::ARRAY || o.via.array.size < 5)
+      return fail(result_code::bad_packet, "not an envelope");
+    const msgpack::object* item = o.via.array.ptr;
+    if (item[0].as<uint32_t>() != datagram_version)
+      return fail(result_code::format_too_new, "unknown datagram version");
+    if (item[2].as<uint64_t>() != context.cluster)
+      return fail(result_code::wrong_cluster, "of another cluster");
+    if (item[1].as<uint32_t>() != domain)
+      return fail(result_code::bad_packet, "of another kind");
+    if (!read(item[3].as<uint32_t>(), item[4]))
+      return fail(result_code::bad_packet, "of an unknown type");
+  } catch (const std::exception& e) {
+    // msgpack reports malformed input by exceptions only.
+    return fail(result_code::bad_packet, e.what());
+  }
+  return boost::outcome_v2::success();
+}
+
+/** Converts the body to the packet's alternative number @p kind. */
+template <size_t I = 0>
+bool read_packet(uint32_t kind, const msgpack::object& o, packet* out) {
+  if constexpr (I < std::variant_size_v<packet>) {
+    if (kind != I)
+      return read_packet<I + 1>(kind, o, out);
+    std::variant_alternative_t<I, packet> body;
+    o.convert(body);
+    *out = std::move(body);
+    return true;
+  } else {
+    return false;
+  }
+}
+
+}  // namespace
+
+result<codec_context> make_codec_context(const std::string& cluster,
+                                         const std::string& hex_key) {
+  if (sodium_init() < 0)
+    return fail(result_code::internal, "libsodium cannot start");
+  codec_context context;
+  context.cluster = hash_name(cluster);
+  if (hex_key.empty())
+    return context;
+  std::array<unsigned char, key_bytes> key{};
+  size_t length = 0;
+  const int bad =
+      sodium_hex2bin(key.data(), key.size(), hex_key.data(), hex_key.size(),
+                     nullptr, &length, nullptr);
+  if (bad != 0 || length != key_bytes) {
+    return fail(result_code::setting_out_of_range,
+                fmt::format("the key is not {} bytes in hex", key_bytes));
+  }
+  context.key.assign(reinterpret_cast<const char*>(key.data()), key.size());
+  return context;
+}
+
+std::string encode(const codec_context& context, const packet& body) {
+  return std::visit(
+      [&](const auto& m) {
+        return encode_body(context, packet_domain,
+                           static_cast<uint32_t>(body.index()), m);
+      },
+      body);
+}
+
+std::string encode(const codec_context& context, const gossip_message& body) {
+  return encode_body(context, gossip_domain, 0, body);
+}
+
+result<packet> decode_packet(const codec_context& context,
+                             const char* data,
+                             size_t size) {
+  packet out;
+  auto opened = open_envelope(
+      context, packet_domain, data, size,
+      [&](uint32_t kind, const msgpack::object& o) {
+        return read_packet(kind, o, &out);
+      });
+  if (!opened)
+    return boost::outcome_v2::failure(opened.error());
+  return out;
+}
+
+result<gossip_message> decode_gossip(const codec_context& context,
+                                     const char* data,
+                                     size_t size) {
+  gossip_message out;
+  auto opened = open_envelope(context, gossip_domain, data, size,
+                              [&](uint32_t, const msgpack::object& o) {
+                                o.convert(out);
+                                return true;
+                              });
+  if (!opened)
+    return boost::outcome_v2::failure(opened.error());
+  return out;
+}
+
+std::string tag_of(const codec_context& context, const std::string& text) {
+  const std::string tag = raw_tag(context, text.data(), text.size());
+  std::string out;
+  for (const char c : tag)
+    out += fmt::format("{:02x}", static_cast<unsigned char>(c));
+  return out;
+}
+
+bool same_tag(const std::string& a, const std::string& b) {
+  return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/protocol/src/fields_internal.h
@@ -0,0 +1,193 @@
+/** @file fields_internal.h Field order of messages on the wire.
+ *
+ * Fields are only ever added at the end, so that readers of an older version
+ * skip what they do not know.
+ */
+#ifndef TURMERIC_PROTOCOL_FIELDS_INTERNAL_H_
+#define TURMERIC_PROTOCOL_FIELDS_INTERNAL_H_
+
+#include <msgpack.hpp>
+#include <tuple>
+#include <type_traits>
+
+#include "turmeric/state/member_type.h"
+#include "turmeric/state/message_type.h"
+
+namespace turmeric {
+
+// Each template takes a const or a mutable message and ties its fields.
+#define TURMERIC_FIELDS(type, ...)                                       \
+  template <typename M,                                                  \
+            std::enable_if_t<std::is_same_v<std::remove_const_t<M>, type>, \
+                             int> = 0>                                   \
+  auto fields(M& m) {                                                    \
+    return std::tie(__VA_ARGS__);                                        \
+  }
+
+TURMERIC_FIELDS(endpoint, m.ip, m.port)
+TURMERIC_FIELDS(permit,
+                m.zone,
+                m.home,
+                m.incarnation,
+                m.serial,
+                m.nonce,
+                m.target,
+                m.lifetime_ms)
+TURMERIC_FIELDS(permit_request,
+                m.service,
+                m.flow,
+                m.request,
+                m.previous,
+                m.reply_to,
+                m.hops)
+TURMERIC_FIELDS(permit_grant, m.service, m.flow, m.request, m.granted)
+TURMERIC_FIELDS(run_request,
+                m.service,
+                m.flow,
+                m.request,
+                m.right,
+                m.repeatable,
+                m.work,
+                m.deadline_ms,
+                m.body,
+                m.missing,
+                m.reply_to,
+                m.hops)
+TURMERIC_FIELDS(answer_part,
+                m.service,
+                m.request,
+                m.serial,
+                m.nonce,
+                m.code,
+                m.retry_after_ms,
+                m.part,
+                m.parts,
+                m.checksum,
+                m.body,
+                m.next)
+TURMERIC_FIELDS(cancel_request,
+                m.service,
+                m.request,
+                m.right,
+                m.reply_to,
+                m.hops)
+TURMERIC_FIELDS(home_release, m.service, m.target, m.running, m.hops)
+TURMERIC_FIELDS(datagram,
+                m.service,
+                m.flow,
+                m.opens,
+                m.payload,
+                m.reply_to,
+                m.hops)
+TURMERIC_FIELDS(config_entry, m.key, m.value, m.changed)
+TURMERIC_FIELDS(config_delta, m.format, m.from, m.to, m.entries)
+TURMERIC_FIELDS(member_record,
+                m.id,
+                m.name,
+                m.zone,
+                m.incarnation,
+                m.refutes,
+                m.state,
+                m.gossip,
+                m.peer)
+TURMERIC_FIELDS(gossip_message,
+                m.kind,
+                m.from,
+                m.sequence,
+                m.subject,
+                m.known,
+                m.updates,
+                m.delta,
+                m.fragment,
+                m.fragments)
+
+#undef TURMERIC_FIELDS
+
+template <typename T, typename = void>
+struct has_fields : std::false_type {};
+template <typename T>
+struct has_fields<T, std::void_t<decltype(fields(std::declval<T&>()))>>
+    : std::true_type {};
+
+}  // namespace turmeric
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+  namespace adaptor {
+
+  template <typename Tag>
+  struct pack<turmeric::strong_id<Tag>> {
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& o,
+                               const turmeric::strong_id<Tag>& id) const {
+      return o.pack_uint64(id.value);
+    }
+  };
+
+  template <typename Tag>
+  struct convert<turmeric::strong_id<Tag>> {
+    msgpack::object const& operator()(msgpack::object const& o,
+                             turmeric::strong_id<Tag>& id) const {
+      id.value = o.as<uint64_t>();
+      return o;
+    }
+  };
+
+  template <typename E>
+  struct pack<E, std::enable_if_t<std::is_enum_v<E>>> {
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& o, const E& value) const {
+      return o.pack_uint64(static_cast<uint64_t>(value));
+    }
+  };
+
+  template <typename E>
+  struct convert<E, std::enable_if_t<std::is_enum_v<E>>> {
+    msgpack::object const& operator()(msgpack::object const& o, E& value) const {
+      const auto number = o.as<uint64_t>();
+      if (number >= static_cast<uint64_t>(E::end))
+        throw type_error();
+      value = static_cast<E>(number);
+      return o;
+    }
+  };
+
+  template <typename M>
+  struct pack<M, std::enable_if_t<turmeric::has_fields<M>::value>> {
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& o, const M& m) const {
+      std::apply(
+          [&](const auto&... field) {
+            o.pack_array(sizeof...(field));
+            (o.pack(field), ...);
+          },
+          turmeric::fields(m));
+      return o;
+    }
+  };
+
+  template <typename M>
+  struct convert<M, std::enable_if_t<turmeric::has_fields<M>::value>> {
+    msgpack::object const& operator()(msgpack::object const& o, M& m) const {
+      if (o.type != type::ARRAY)
+        throw type_error();
+      std::apply(
+          [&](auto&... field) {
+            uint32_t i = 0;
+            // Fields that an older sender did not write keep their default.
+            ((i < o.via.array.size
+                  ? (void)o.via.array.ptr[i].convert(field)
+                  : void(),
+              ++i),
+             ...);
+          },
+          turmeric::fields(m));
+      return o;
+    }
+  };
+
+  }  // namespace adaptor
+}
+}  // namespace msgpack
+
+#endif  // TURMERIC_PROTOCOL_FIELDS_INTERNAL_H_
--- /dev/null
+++ b/packages/state/include/turmeric/state/platform_type.h
@@ -0,0 +1,77 @@
+/** @file platform_type.h Calls to the platform's object API. */
+#ifndef TURMERIC_STATE_PLATFORM_TYPE_H_
+#define TURMERIC_STATE_PLATFORM_TYPE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "turmeric/state/time_type.h"
+
+namespace turmeric {
+
+/** Operations of the object API. */
+enum class platform_op : uint8_t {
+  get,
+  list,    ///< All objects whose name starts with `name`.
+  create,  ///< Fails with `exists` if the object is there.
+  update,  ///< Fails with `mismatch` unless the object has `version`.
+  watch,   ///< Waits for objects after `name` under its prefix.
+  end
+};
+
+/** How a call ended. */
+enum class platform_status : uint8_t {
+  ok,
+  not_found,
+  exists,
+  mismatch,
+  gone,         ///< The watch starts before what the platform keeps.
+  unavailable,  ///< No answer; the call may have taken effect.
+  end
+};
+
+/** @return The name of @p op, as used in the API. */
+std::string_view name_of(platform_op op);
+
+/** @return The name of @p status, as used in the API. */
+std::string_view name_of(platform_status status);
+
+/** An object with its version. */
+struct platform_object {
+  std::string name;
+  uint64_t version = 0;
+  std::string value;
+};
+
+/** One call. */
+struct platform_call {
+  uint64_t id = 0;
+  platform_op op = platform_op::get;
+  std::string name;
+  uint64_t version = 0;
+  std::string value;
+  time_us timeout = us_per_s;
+};
+
+/** The end of one call. */
+struct platform_reply {
+  uint64_t id = 0;
+  platform_status status = platform_status::unavailable;
+  std::vector<platform_object> objects;
+};
+
+/** @return The name of the log object that holds change @p number; names sort
+ * by number. */
+std::string log_object_name(uint64_t number);
+
+/** Prefix of all log objects. */
+constexpr std::string_view log_prefix = "log/";
+
+/** Name of the object that lists the newest snapshot's parts. */
+constexpr std::string_view snapshot_name = "snapshot/index";
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_STATE_PLATFORM_TYPE_H_
--- /dev/null
+++ b/packages/state/include/turmeric/state/route_base.h
@@ -0,0 +1,84 @@
+/** @file route_base.h Immutable snapshot that the traffic threads read. */
+#ifndef TURMERIC_STATE_ROUTE_BASE_H_
+#define TURMERIC_STATE_ROUTE_BASE_H_
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "turmeric/state/config_state_base.h"
+#include "turmeric/state/member_type.h"
+#include "turmeric/state/service_type.h"
+
+namespace turmeric {
+
+/** Where a target stands in the configuration. */
+struct target_place {
+  std::shared_ptr<const service_config> service;
+  const target_config* target = nullptr;
+};
+
+/** Services and targets of one revision. */
+struct service_index {
+  revision in_force = 0;
+  std::unordered_map<service_id, std::shared_ptr<const service_config>>
+      services;
+  std::unordered_map<target_id, target_place> targets;
+  std::unordered_set<zone_id> zones_out;
+  std::unordered_set<target_id> draining;
+  std::unordered_set<member_id> leaving;  ///< Balancers told to stop.
+
+  /** @return The place of @p id if it belongs to @p service, else null. */
+  const target_place* find(service_id service, target_id id) const;
+
+  /** @return Whether the target may get work that opens a flow. */
+  bool takes_new_flows(const target_config& target) const;
+
+  /** @return Whether the target may get work at all. */
+  bool reachable(const target_config& target) const;
+};
+
+/** Builds indexes, parsing only what changed between revisions. */
+class index_builder {
+ public:
+  /** @return The index of @p state. */
+  std::shared_ptr<const service_index> build(const config_state& state);
+
+ private:
+  struct cached_service {
+    revision changed = 0;
+    std::shared_ptr<const service_config> service;
+  };
+  void add_service(const config_entry& entry, service_index* index);
+
+  std::unordered_map<std::string, cached_service> cache_;
+};
+
+/** Everything a traffic thread decides on. Replaced whole, never changed. */
+struct route_table {
+  std::shared_ptr<const service_index> index;
+  member_record self;
+  std::vector<member_record> members;  ///< Known live or leaving ones.
+
+  /** Balancer that alone starts work on a target of this zone.
+   * @return Invalid if the target's zone has no live balancer known here. */
+  member_id home_of(const target_config& target) const;
+
+  /** @return The record of @p id, or null. */
+  const member_record* find_member(member_id id) const;
+
+  /** @return Some live member of @p zone chosen by @p key, or null. */
+  const member_record* contact_in(zone_id zone, uint64_t key) const;
+};
+
+/** Chooses a target for a new flow by rendezvous hashing, so that a change of
+ * the set moves only the flows of the targets that changed.
+ * @return Null if no target takes new flows. */
+const target_config* choose_target(const service_index& index,
+                                   const service_config& service,
+                                   flow_id flow);
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_STATE_ROUTE_BASE_H_
--- /dev/null
+++ b/packages/state/src/log.cpp
@@ -0,0 +1,115 @@
+/** @file log.cpp Log lines by fmt. */
+#include "turmeric/state/log_func.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+
+namespace turmeric {
+namespace {
+
+constexpr size_t category_count = static_cast<size_t>(log_category::end);
+constexpr std::array<std::string_view, category_count> category_names = {
+    "control", "traffic", "platform", "admin"};
+constexpr std::array<std::string_view, static_cast<size_t>(log_level::end)>
+    level_names = {"debug", "info", "warning", "error"};
+
+std::array<std::atomic<log_level>, category_count>& levels() {
+  static std::array<std::atomic<log_level>, category_count> all = {
+      log_level::info, log_level::info, log_level::info, log_level::info};
+  return all;
+}
+
+std::string& instance_name() {
+  static std::string name;
+  return name;
+}
+
+std::string timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      now.time_since_epoch())
+                      .count() %
+                  1000;
+  const auto seconds = std::chrono::system_clock::to_time_t(now);
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), ms);
+}
+
+}  // namespace
+
+std::string_view name_of(log_category category) {
+  return category_names[static_cast<size_t>(category)];
+}
+
+std::string_view name_of(log_level level) {
+  return level_names[static_cast<size_t>(level)];
+}
+
+log_level log_level_from(std::string_view name) {
+  for (size_t i = 0; i < level_names.size(); ++i) {
+    if (level_names[i] == name)
+      return static_cast<log_level>(i);
+  }
+  return log_level::end;
+}
+
+log_category log_category_from(std::string_view name) {
+  for (size_t i = 0; i < category_names.size(); ++i) {
+    if (category_names[i] == name)
+      return static_cast<log_category>(i);
+  }
+  return log_category::end;
+}
+
+void set_log_level(log_category category, log_level level) {
+  for (size_t i = 0; i < category_count; ++i) {
+    if (category == log_category::end || category == static_cast<log_category>(i))
+      levels()[i] = level;
+  }
+}
+
+void set_log_instance(std::string name) {
+  instance_name() = std::move(name);
+}
+
+void log(log_category category,
+         log_level level,
+         std::string_view message,
+         std::initializer_list<log_field> fields) {
+  if (level < levels()[static_cast<size_t>(category)])
+    return;
+  std::string line = fmt::format(
+      R"({{"time":"{}","level":"{}","category":"{}","instance":{},"message":{})",
+      timestamp(), name_of(level), name_of(category),
+      Json::valueToQuotedString(instance_name().c_str()),
+      Json::valueToQuotedString(std::string(message).c_str()));
+  for (const auto& [name, value] : fields) {
+    line += fmt::format(R"(,"{}":{})", name,
+                        Json::valueToQuotedString(value.c_str()));
+  }
+  fmt::print(stderr, "{}}}\n", line);
+}
+
+bool log_limiter::allow(int64_t second) {
+  if (second != second_) {
+    second_ = second;
+    used_ = 0;
+  }
+  if (used_ < per_second_) {
+    ++used_;
+    return true;
+  }
+  ++suppressed_;
+  return false;
+}
+
+uint64_t log_limiter::take_suppressed() {
+  return std::exchange(suppressed_, 0);
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/state/src/settings.cpp
@@ -0,0 +1,143 @@
+/** @file settings.cpp Settings table, reader and help. */
+#include <fmt/format.h>
+
+#include <charconv>
+
+#include "turmeric/state/ini_func.h"
+#include "turmeric/state/settings_base.h"
+
+namespace turmeric {
+namespace {
+
+const setting_row* find_row(const std::string& section,
+                            const std::string& name) {
+  for (const auto& row : setting_table()) {
+    if (row.section == section && row.name == name)
+      return &row;
+  }
+  return nullptr;
+}
+
+/** Parses a whole decimal number. */
+bool parse_number(const std::string& text, int64_t* out) {
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, *out);
+  return parsed.ec == std::errc() && parsed.ptr == end && !text.empty();
+}
+
+result<void> check_value(const setting_row& row, const std::string& value) {
+  int64_t measure = static_cast<int64_t>(value.size());
+  const bool number = row.kind == setting_kind::number;
+  if (number && !parse_number(value, &measure)) {
+    return fail(result_code::setting_out_of_range,
+                fmt::format("{}.{} is '{}', expected a number", row.section,
+                            row.name, value));
+  }
+  if (measure < row.min || measure > row.max) {
+    return fail(result_code::setting_out_of_range,
+                fmt::format("{}.{} is '{}', expected {} from {} to {}",
+                            row.section, row.name, value,
+                            number ? "a number" : "a text of length", row.min,
+                            row.max));
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+const std::vector<setting_row>& setting_table() {
+  static const std::vector<setting_row> table = {
+#define TURMERIC_SETTING(section, name, kind, unit, value, min, max, text) \
+  {setting::section##_##name, #section, #name, setting_kind::kind, unit,   \
+   value, min, max, text},
+#include "turmeric/state/table/settings.h"
+#undef TURMERIC_SETTING
+  };
+  return table;
+}
+
+settings::settings() {
+  for (const auto& row : setting_table())
+    values_.emplace_back(row.value);
+}
+
+result<void> settings::set(const std::string& section,
+                           const std::string& name,
+                           const std::string& value) {
+  const setting_row* row = find_row(section, name);
+  if (row == nullptr) {
+    return fail(result_code::unknown_setting,
+                fmt::format("no setting {}.{}", section, name));
+  }
+  auto checked = check_value(*row, value);
+  if (checked)
+    values_[static_cast<size_t>(row->id)] = value;
+  return checked;
+}
+
+const std::string& settings::text(setting id) const {
+  return values_[static_cast<size_t>(id)];
+}
+
+int64_t settings::number(setting id) const {
+  int64_t value = 0;
+  parse_number(text(id), &value);
+  return value;
+}
+
+result<void> settings::check_complete() const {
+  for (const auto& row : setting_table()) {
+    auto checked = check_value(row, text(row.id));
+    if (!checked)
+      return checked;
+  }
+  return boost::outcome_v2::success();
+}
+
+result<settings> read_settings(const std::string& path) {
+  auto lines = read_ini(path);
+  if (!lines)
+    return boost::outcome_v2::failure(lines.error());
+  settings out;
+  for (const auto& line : lines.value()) {
+    auto done = out.set(line.section, line.name, line.value);
+    if (!done) {
+      error e = done.error();
+      e.file = path;
+      e.line = line.line;
+      return boost::outcome_v2::failure(e);
+    }
+  }
+  auto complete = out.check_complete();
+  if (!complete) {
+    error e = complete.error();
+    e.file = path;
+    return boost::outcome_v2::failure(e);
+  }
+  return out;
+}
+
+std::string settings_help() {
+  std::string out;
+  for (const auto& row : setting_table()) {
+    out += fmt::format("{}.{} [{}] default '{}', {}..{}\n    {}\n", row.section,
+                       row.name, row.unit, row.value, row.min, row.max,
+                       row.description);
+  }
+  return out;
+}
+
+std::string settings_page() {
+  std::string out =
+      "# Settings\n\nMade by `turmericstream check-settings --page`.\n\n"
+      "| section | name | unit | default | minimum | maximum | meaning |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n";
+  for (const auto& row : setting_table()) {
+    out += fmt::format("| {} | {} | {} | {} | {} | {} | {} |\n", row.section,
+                       row.name, row.unit, row.value, row.min, row.max,
+                       row.description);
+  }
+  return out;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/transport/include/turmeric/transport/clock_func.h
@@ -0,0 +1,20 @@
+/** @file clock_func.h Clocks that the adapters pass into the cores. */
+#ifndef TURMERIC_TRANSPORT_CLOCK_FUNC_H_
+#define TURMERIC_TRANSPORT_CLOCK_FUNC_H_
+
+#include "turmeric/state/time_type.h"
+
+namespace turmeric {
+
+/** @return Microseconds on the steady clock. */
+time_us steady_now();
+
+/** @return Microseconds since the Unix epoch. */
+time_us wall_now();
+
+/** @return A source of random numbers, seeded by the system. */
+random_source system_random();
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_TRANSPORT_CLOCK_FUNC_H_
--- /dev/null
+++ b/tests/standins/platform_main.cpp
@@ -0,0 +1,136 @@
+/** @file platform_main.cpp The platform's object API as a process.
+ *
+ * Serves POST /v1/OP. POST /faults with {down, lose_answers, slow_ms,
+ * keep_from} sets faults; GET /calls tells how often each operation came.
+ */
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "options.h"
+#include "platform_store.h"
+#include "turmeric/state/json_func.h"
+#include "turmeric/state/service_type.h"
+#include "turmeric/transport/platform_client_func.h"
+
+namespace turmeric::tests {
+namespace {
+
+constexpr int server_threads = 64;
+
+class platform_server {
+ public:
+  explicit platform_server(uint64_t seed) : random_(seed) {
+    for (int i = 0; i < static_cast<int>(platform_op::end); ++i) {
+      const auto op = static_cast<platform_op>(i);
+      const std::string path = "/v1/" + std::string(name_of(op));
+      server_.Post(path.c_str(), [this, op](const httplib::Request& in,
+                                            httplib::Response& out) {
+        serve(op, in, &out);
+      });
+    }
+    server_.Post("/faults", [this](const httplib::Request& in,
+                                   httplib::Response& out) {
+      set_faults(in.body);
+      out.set_content("{}", "application/json");
+    });
+    server_.Get("/calls", [this](const httplib::Request&,
+                                 httplib::Response& out) {
+      out.set_content(calls(), "application/json");
+    });
+    server_.new_task_queue = [] {
+      return new httplib::ThreadPool(server_threads);
+    };
+  }
+
+  bool run(endpoint local) {
+    const std::string text = to_text(local);
+    const std::string host = text.substr(0, text.find(':'));
+    if (!server_.bind_to_port(host.c_str(), local.port))
+      return false;
+    std::thread listener([this] { server_.listen_after_bind(); });
+    wait_for_stop();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      stopping_ = true;
+      changed_.notify_all();
+    }
+    server_.stop();
+    listener.join();
+    return true;
+  }
+
+ private:
+  void serve(platform_op op,
+             const httplib::Request& in,
+             httplib::Response* out) {
+    platform_call call;
+    call.op = op;
+    if (!platform_call_from_json(in.body, &call)) {
+      out->status = 400;
+      return;
+    }
+    std::unique_lock<std::mutex> lock(mutex_);
+    store_.count(op);
+    const auto slow = std::chrono::milliseconds(store_.faults.slow_ms);
+    changed_.wait_for(lock, slow, [this] { return stopping_; });
+    platform_reply reply = store_.execute(call, random_());
+    const auto deadline = std::chrono::steady_clock::now() +
+                          std::chrono::microseconds(call.timeout);
+    while (op == platform_op::watch && !stopping_ &&
+           reply.status == platform_status::ok && reply.objects.empty() &&
+           changed_.wait_until(lock, deadline) == std::cv_status::no_timeout) {
+      reply = store_.execute(call, random_());
+    }
+    changed_.notify_all();
+    // Silence is told from the API's own answers by an HTTP error.
+    if (reply.status == platform_status::unavailable)
+      out->status = 504;
+    else
+      out->set_content(platform_reply_to_json(reply), "application/json");
+  }
+
+  void set_faults(const std::string& text) {
+    Json::Value v;
+    if (!json_parse(text, &v) || !v.isObject())
+      return;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    platform_faults& f = store_.faults;
+    f.down = v.get("down", f.down).asBool();
+    f.lose_answers = v.get("lose_answers", f.lose_answers).asUInt();
+    f.slow_ms = v.get("slow_ms", f.slow_ms).asUInt();
+    f.keep_from = v.get("keep_from", Json::UInt64(f.keep_from)).asUInt64();
+    changed_.notify_all();
+  }
+
+  std::string calls() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Json::Value v = Json::objectValue;
+    for (const auto& [op, count] : store_.calls())
+      v[std::string(name_of(op))] = Json::UInt64(count);
+    return json_text(v);
+  }
+
+  httplib::Server server_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  platform_store store_;
+  std::mt19937_64 random_;
+  bool stopping_ = false;
+};
+
+}  // namespace
+}  // namespace turmeric::tests
+
+int main(int argc, char** argv) {
+  using namespace turmeric::tests;
+  const option_map options(argc, argv);
+  catch_stop();
+  platform_server server(static_cast<uint64_t>(options.number("seed", 1)));
+  return server.run(options.address("listen")) ? 0 : 1;
+}
