--- a/packages/coordination/include/turmeric/coordination/caller_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/caller_core_base.h
@@ -21,7 +21,7 @@
 /** Timing and bounds of a caller. */
 struct caller_options {
   time_us first_rto = 100 * us_per_ms;  ///< First retransmission.
-  time_us max_rto = us_per_s;
+  time_us max_rto = 250 * us_per_ms;
   time_us silent_path = 1500 * us_per_ms;  ///< Opens a new path after this.
   double retry_ratio = 0.2;   ///< Retries earned by each request.
   double retry_burst = 20.0;  ///< Retries at hand at the most.
--- a/packages/coordination/include/turmeric/coordination/control_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/control_core_base.h
@@ -146,6 +146,7 @@
   bool published_ = false;
   uint64_t published_members_ = 0;
   revision published_revision_ = 0;
+  revision published_known_ = 0;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/include/turmeric/coordination/target_gate_base.h
+++ b/packages/coordination/include/turmeric/coordination/target_gate_base.h
@@ -28,7 +28,8 @@
   double slow_factor = 4.0;        ///< Against the usual duration.
   time_us slow_floor = 50 * us_per_ms; ///< Never slow below this.
   time_us idle_reset = 60 * us_per_s;  ///< Held cold after this silence.
-  time_us first_estimate = 20 * us_per_ms; ///< Duration before evidence.
+  time_us first_estimate = 100 * us_per_ms; ///< Duration before evidence.
+  time_us answer_margin = 200 * us_per_ms; ///< For the way back to the caller.
   size_t queue_limit = 64;
   uint32_t bulk_share = 8;         ///< One start in this many is bulk's.
 };
@@ -98,6 +99,9 @@
   uint32_t limit() const;
   time_us gap() const;
   time_us& usual(work_class work);
+  time_us latest_start(const gate_item& item) const;
+  void expire_from(std::deque<gate_item>* queue, time_us now,
+                   std::vector<gate_item>* out) const;
   void fall_back(time_us now);
   void climb(time_us now, const started& run);
   bool bulk_turn() const;
--- a/packages/coordination/include/turmeric/coordination/traffic_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_core_base.h
@@ -16,7 +16,9 @@
 #include <variant>
 #include <vector>
 
+#include "turmeric/coordination/flow_steering_base.h"
 #include "turmeric/coordination/target_gate_base.h"
+#include "turmeric/coordination/traffic_action_type.h"
 #include "turmeric/coordination/traffic_metrics_base.h"
 #include "turmeric/state/route_base.h"
 
@@ -35,63 +37,20 @@
   uint8_t max_hops = 4;
   time_us no_target_retry = 500 * us_per_ms;
   gate_options gate;
-};
-
-/** Sends a packet to a caller or to another balancer. */
-struct send_packet {
-  endpoint to;
-  packet body;
-  bool to_peer = false;
-};
-
-/** Runs a request on a target, over a transport that cannot repeat it. */
-struct start_work {
-  uint64_t serial = 0;
-  endpoint target;
-  std::string service_name;
-  request_id request;
-  flow_id flow;
-  uint32_t deadline_ms = 0;
-  std::string body;
-};
-
-/** Tells a target that nobody waits for a request any more. */
-struct cancel_work {
-  uint64_t serial = 0;
-  endpoint target;
-  request_id request;
-};
-
-/** What the adapters must do for the traffic core. */
-using traffic_action = std::variant<send_packet, start_work, cancel_work>;
-
-/** How a started request ended at its target. */
-enum class work_status : uint8_t {
-  answered,
-  refused,      ///< The target said that it did not run it.
-  unreachable,  ///< No byte was sent.
-  broken,       ///< The connection ended after a byte was sent.
-  end
-};
-
-/** The end of a start_work. */
-struct work_result {
-  uint64_t serial = 0;
-  work_status status = work_status::broken;
-  uint32_t retry_after_ms = 0;
-  std::string body;
+  flow_options flows;
 };
 
 /** Faults made on purpose, for showing that the checkers find them. */
 struct traffic_plants {
   bool run_twice = false;        ///< Forgets that a permit is spent.
   bool refuse_running = false;   ///< Says "not run" of a running request.
-  bool ignore_service = false;   ///< Takes permits for another service.
+  bool ignore_service = false;   ///< Runs work on another service's target.
   bool ignore_zone_out = false;  ///< Sends work to withdrawn zones.
   bool ignore_drain = false;     ///< Sends new work to draining targets.
   bool no_ramp = false;          ///< Loads a cold target fully.
   bool drop_on_stop = false;     ///< Forgets running work when stopping.
-  bool mix_parts = false;        ///< Sends parts of one body twice over.
+  bool mix_answers = false;      ///< Answers with another request's body.
+  flow_plants flows;
 };
 
 /** Runs requests; see the file's comment. */
@@ -130,6 +89,9 @@
   /** Counts a datagram that the decoder refused. */
   void count_drop(result_code why) { metrics_.count(why); }
 
+  /** @return The steering of opaque flows. */
+  const flow_steering& flows() const { return flows_; }
+
   /** @return Counters and histograms. */
   const traffic_metrics& metrics() const { return metrics_; }
 
@@ -167,6 +129,12 @@
   void on(time_us now, cancel_request m, actions* out);
   void on(time_us now, home_release m, actions* out);
   void on(time_us now, datagram m, actions* out);
+  void on(time_us now, flow_query m, actions* out);
+  void on(time_us now, const flow_hint& m, actions* out);
+  void on(time_us now, flow_records m, actions* out);
+  void on(time_us now, bucket_notes m, actions* out);
+  void on(time_us now, const moving_pull& m, actions* out);
+  void on(time_us now, const moving_list& m, actions* out);
   void on(time_us now, const permit_grant& m, actions* out);
   void on(time_us now, const answer_part& m, actions* out);
 
@@ -189,6 +157,7 @@
               std::string body, actions* out);
   void send_result(time_us now, const attempt& a,
                    const std::vector<uint16_t>& missing, actions* out);
+  endpoint foreign_address(service_id service) const;
   target_gate& gate_of(time_us now, target_id target, uint32_t slots);
   void pump(time_us now, target_id target, actions* out);
   void pump_all(time_us now, actions* out);
@@ -212,11 +181,13 @@
   std::set<uint64_t> running_;   ///< Serials of started requests.
   std::map<target_id, time_us> drained_at_;
   traffic_metrics metrics_;
+  flow_steering flows_;
   uint64_t next_serial_ = 1;
   size_t unfinished_ = 0;
   size_t kept_bytes_ = 0;
   time_us last_seen_ = -1;
   time_us started_ = -1;
+  std::string last_body_;  ///< For the plant of mixed answers only.
   bool stopping_ = false;
   bool doubtful_ = false;  ///< Paused; waits for a newer snapshot.
 };
--- a/packages/coordination/src/control_core.cpp
+++ b/packages/coordination/src/control_core.cpp
@@ -96,16 +96,20 @@
 
 void control_core::publish_if_changed(std::vector<control_action>* out) {
   const bool same = published_ && published_members_ == members_.version() &&
-                    published_revision_ == in_force_->in_force;
+                    published_revision_ == in_force_->in_force &&
+                    published_known_ == state_.current();
   if (same)
     return;
   auto table = std::make_shared<route_table>();
   table->index = in_force_;
+  table->announced =
+      pending_.empty() ? in_force_ : pending_.back().index;
   table->self = members_.self();
   table->members = members_.view();
   published_ = true;
   published_members_ = members_.version();
   published_revision_ = in_force_->in_force;
+  published_known_ = state_.current();
   out->emplace_back(publish_routes{std::move(table)});
 }
 
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -20,10 +20,6 @@
 /** Indirect probing gets this many further probe timeouts. */
 constexpr int indirect_timeouts = 2;
 
-bool usable(const member_record& r) {
-  return r.state == member_state::live || r.state == member_state::suspect;
-}
-
 /** @return Whether @p a replaces @p b. */
 bool newer(const member_record& a, const member_record& b) {
   if (a.incarnation != b.incarnation)
@@ -103,7 +99,7 @@
 
 bool membership::zone_holds(revision r) const {
   for (const auto& [id, p] : peers_) {
-    if (p.record.zone == self_.zone && usable(p.record) && p.known < r)
+    if (p.record.zone == self_.zone && is_usable(p.record) && p.known < r)
       return false;
   }
   return known_ >= r;
@@ -112,7 +108,7 @@
 std::vector<member_record> membership::sample(size_t count) {
   std::vector<const peer*> candidates;
   for (const auto& [id, p] : peers_) {
-    if (usable(p.record))
+    if (is_usable(p.record))
       candidates.push_back(&p);
   }
   std::vector<member_record> out;
@@ -127,7 +123,7 @@
 
 bool membership::has_peers() const {
   return std::any_of(peers_.begin(), peers_.end(),
-                     [](const auto& p) { return usable(p.second.record); });
+                     [](const auto& p) { return is_usable(p.second.record); });
 }
 
 bool membership::picked_for(uint64_t role, size_t count) const {
@@ -163,7 +159,7 @@
     return false;
   size_t contacts = 0;
   for (const auto& [id, p] : peers_) {
-    if (p.record.zone == record.zone && usable(p.record))
+    if (p.record.zone == record.zone && is_usable(p.record))
       ++contacts;
   }
   return contacts < options_.contacts_per_zone;
@@ -383,7 +379,7 @@
   const endpoint seed = options_.seeds[random_() % options_.seeds.size()];
   const bool known = std::any_of(
       peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return entry.second.record.gossip == seed && usable(entry.second.record);
+        return entry.second.record.gossip == seed && is_usable(entry.second.record);
       });
   if (!known && !(seed == self_.gossip))
     out->push_back({seed, make(gossip_kind::sync_request, ++sequence_)});
--- a/packages/coordination/src/target_gate.cpp
+++ b/packages/coordination/src/target_gate.cpp
@@ -19,19 +19,6 @@
   return true;
 }
 
-void expire_from(std::deque<gate_item>* queue,
-                 time_us now,
-                 std::vector<gate_item>* out) {
-  for (auto it = queue->begin(); it != queue->end();) {
-    if (it->deadline <= now) {
-      out->push_back(*it);
-      it = queue->erase(it);
-    } else {
-      ++it;
-    }
-  }
-}
-
 }  // namespace
 
 target_gate::target_gate(gate_options options, time_us now)
@@ -49,6 +36,26 @@
   return work == work_class::bulk ? usual_bulk_ : usual_interactive_;
 }
 
+time_us target_gate::latest_start(const gate_item& item) const {
+  const time_us known =
+      item.work == work_class::bulk ? usual_bulk_ : usual_interactive_;
+  const time_us duration = known > 0 ? known : options_.first_estimate;
+  return item.deadline - duration - options_.answer_margin;
+}
+
+void target_gate::expire_from(std::deque<gate_item>* queue,
+                              time_us now,
+                              std::vector<gate_item>* out) const {
+  for (auto it = queue->begin(); it != queue->end();) {
+    if (latest_start(*it) <= now) {
+      out->push_back(*it);
+      it = queue->erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
 uint32_t target_gate::running(time_us now) const {
   const uint32_t assumed = now < assumed_until_ ? assumed_ : 0;
   return static_cast<uint32_t>(running_.size()) + assumed;
@@ -67,14 +74,14 @@
   if (running(now) >= limit())
     wait += usual;
   if (now < assumed_until_ && assumed_ >= limit())
-    wait = std::max(wait, assumed_until_ - now);
+    wait += assumed_until_ - now;
   return std::max(wait, next_start_ - now);
 }
 
 gate_decision target_gate::offer(time_us now, const gate_item& item) {
   const time_us wait = expected_wait(now);
   const bool full = waiting() >= options_.queue_limit;
-  if (full || now + wait >= item.deadline)
+  if (full || now + wait >= latest_start(item))
     return {false, std::max(wait, us_per_ms)};
   auto& queue = item.work == work_class::bulk ? bulk_ : interactive_;
   queue.push_back(item);
--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -4,15 +4,6 @@
 #include "traffic_core_internal.h"
 
 namespace turmeric {
-namespace {
-
-/** A service that a packet is about, whatever its type. */
-service_id service_of(const packet& p) {
-  return std::visit([](const auto& m) { return m.service; }, p);
-}
-
-}  // namespace
-
 traffic_core::traffic_core(traffic_options options,
                            member_record self,
                            random_source random,
@@ -20,7 +11,8 @@
     : options_(std::move(options)),
       self_(std::move(self)),
       random_(std::move(random)),
-      plants_(plants) {}
+      plants_(plants),
+      flows_(options_.flows, self_, plants_.flows) {}
 
 std::vector<traffic_action> traffic_core::routes(
     time_us now,
@@ -29,6 +21,7 @@
   if (started_ < 0)
     started_ = now;
   table_ = std::move(table);
+  flows_.routes(now, table_);
   doubtful_ = false;
   last_seen_ = now;
   for (const target_id target : table_->index->draining)
@@ -47,7 +40,7 @@
                                                       packet body) {
   actions out;
   metrics_.packet_in();
-  std::visit(
+  const bool accepted = std::visit(
       [&](auto& m) {
         using message = std::decay_t<decltype(m)>;
         constexpr bool from_callers =
@@ -55,15 +48,17 @@
             std::is_same_v<message, run_request> ||
             std::is_same_v<message, cancel_request> ||
             std::is_same_v<message, datagram>;
-        if constexpr (!from_callers) {
-          m.service = service_id{};  // Only balancers may send these.
-        } else {
+        if constexpr (from_callers) {
           m.reply_to = from;
           m.hops = 0;
         }
+        return from_callers;
       },
       body);
-  handle(now, std::move(body), &out);
+  if (accepted)
+    handle(now, std::move(body), &out);
+  else
+    count(result_code::bad_packet);  // Only balancers may send these.
   return out;
 }
 
@@ -81,10 +76,6 @@
     count(result_code::no_route);
     return;
   }
-  if (!service_of(body).valid()) {
-    count(result_code::bad_packet);
-    return;
-  }
   std::visit([&](auto& m) { on(now, std::move(m), out); }, body);
 }
 
@@ -174,19 +165,39 @@
   out->emplace_back(send_packet{m.reply_to, packet(std::move(part)), false});
 }
 
-void traffic_core::on(time_us, datagram m, actions* out) {
-  const auto found = table_->index->services.find(m.service);
-  if (found == table_->index->services.end()) {
-    count(result_code::refused_unknown_service);
-    return;
-  }
-  const target_config* target =
-      choose_target(*table_->index, *found->second, m.flow);
-  if (target == nullptr) {
-    count(result_code::refused_no_target);
-    return;
-  }
-  out->emplace_back(send_packet{target->address, packet(std::move(m)), false});
+void traffic_core::on(time_us now, datagram m, actions* out) {
+  // A balancer that was paused cannot know what has been withdrawn.
+  if (doubtful_)
+    count(result_code::no_route);
+  else
+    flows_.steer(now, std::move(m), &metrics_, out);
+}
+
+void traffic_core::on(time_us now, flow_query m, actions* out) {
+  if (doubtful_)
+    count(result_code::no_route);
+  else
+    flows_.on(now, std::move(m), &metrics_, out);
+}
+
+void traffic_core::on(time_us now, const flow_hint& m, actions*) {
+  flows_.on(now, m);
+}
+
+void traffic_core::on(time_us now, flow_records m, actions* out) {
+  flows_.on(now, std::move(m), out);
+}
+
+void traffic_core::on(time_us now, bucket_notes m, actions* out) {
+  flows_.on(now, std::move(m), out);
+}
+
+void traffic_core::on(time_us now, const moving_pull& m, actions* out) {
+  flows_.on(now, m, out);
+}
+
+void traffic_core::on(time_us now, const moving_list& m, actions*) {
+  flows_.on(now, m);
 }
 
 std::vector<traffic_action> traffic_core::tick(time_us now) {
@@ -196,6 +207,7 @@
   last_seen_ = now;
   pump_all(now, &out);
   cancel_overdue(now, &out);
+  flows_.tick(now, &out);
   forget_old(now);
   return out;
 }
--- a/packages/coordination/src/traffic_core_run.cpp
+++ b/packages/coordination/src/traffic_core_run.cpp
@@ -80,7 +80,7 @@
     count(result_code::bad_signature);
     return;
   }
-  if (a.service != m.service && !plants_.ignore_service) {
+  if (a.service != m.service) {
     count(result_code::wrong_service);
     return;
   }
@@ -163,6 +163,14 @@
   pump(now, target, out);
 }
 
+endpoint traffic_core::foreign_address(service_id service) const {
+  for (const auto& [id, place] : table_->index->targets) {
+    if (place.service->id != service)
+      return place.target->address;
+  }
+  return {};
+}
+
 target_gate& traffic_core::gate_of(time_us now,
                                    target_id target,
                                    uint32_t slots) {
@@ -209,7 +217,8 @@
     running_.insert(item->serial);
     start_work work;
     work.serial = a.right.serial;
-    work.target = place->target->address;
+    work.target = plants_.ignore_service ? foreign_address(a.service)
+                                         : place->target->address;
     work.service_name = full_name(*place->service);
     work.request = a.request;
     work.flow = a.flow;
@@ -259,6 +268,9 @@
   a->code = code;
   a->retry_after_ms = to_ms(retry_after);
   a->body = std::move(body);
+  if (plants_.mix_answers && code == result_code::ok)
+    std::swap(a->body, last_body_);
+  running_.erase(a->right.serial);
   a->checksum = checksum(a->body);
   kept_bytes_ += a->body.size();
   const target_place* place = table_->index->find(a->service, a->right.target);
@@ -302,8 +314,7 @@
     part.part = static_cast<uint16_t>(i);
     part.parts = static_cast<uint16_t>(parts);
     part.checksum = a.checksum;
-    const size_t from = plants_.mix_parts && i > 0 ? 0 : i * part_bytes;
-    part.body = a.body.substr(from, part_bytes);
+    part.body = a.body.substr(i * part_bytes, part_bytes);
     // A permit that has aged on the way would only be refused.
     if (now - a.done < options_.permit_lifetime / 2)
       part.next = a.next;
--- a/packages/state/include/turmeric/state/member_type.h
+++ b/packages/state/include/turmeric/state/member_type.h
@@ -19,6 +19,11 @@
 /** @return The name of @p state. */
 std::string_view name_of(member_state state);
 
+struct member_record;
+
+/** @return Whether @p member takes work: it is neither leaving nor dead. */
+bool is_usable(const member_record& member);
+
 /** What the members of a zone tell each other about one balancer. */
 struct member_record {
   member_id id;
--- a/packages/state/include/turmeric/state/message_type.h
+++ b/packages/state/include/turmeric/state/message_type.h
@@ -115,6 +115,51 @@
   uint8_t hops = 0;
 };
 
+/** Asks the owner of a moving bucket where the flow of a packet belongs. */
+struct flow_query {
+  service_id service;
+  datagram inner;
+  endpoint asker;    ///< Peer address that gets the hint.
+  bool last = false; ///< The balancer that decides asks nobody else.
+  bool here = false; ///< The receiver decides and passes it on to nobody.
+  uint8_t hops = 0;
+};
+
+/** Tells a balancer where the owner has placed a flow. */
+struct flow_hint {
+  service_id service;
+  flow_id flow;
+  target_id target;
+  bool moving = true;  ///< Whether the bucket still has an older target.
+};
+
+/** Tells the owner of placements, or the balancer that would own them next. */
+struct flow_records {
+  service_id service;
+  std::vector<flow_id> flows;
+  std::vector<target_id> targets;  ///< As long as `flows`.
+  bool here = false;  ///< For the receiver; not passed on to the owner.
+  uint8_t hops = 0;
+};
+
+/** Tells owners that older targets of these buckets are still in use. */
+struct bucket_notes {
+  service_id service;
+  std::vector<uint32_t> buckets;
+  std::vector<target_id> oldest;  ///< As long as `buckets`.
+  uint8_t hops = 0;
+};
+
+/** Asks a peer for all moving buckets; sent by a balancer that started. */
+struct moving_pull {
+  endpoint asker;
+};
+
+/** Answers a moving_pull. */
+struct moving_list {
+  std::vector<bucket_notes> services;
+};
+
 /** Everything that travels between callers, balancers and targets. */
 using packet = std::variant<permit_request,
                             permit_grant,
@@ -122,7 +167,13 @@
                             answer_part,
                             cancel_request,
                             home_release,
-                            datagram>;
+                            datagram,
+                            flow_query,
+                            flow_hint,
+                            flow_records,
+                            bucket_notes,
+                            moving_pull,
+                            moving_list>;
 
 }  // namespace turmeric
 
--- a/packages/state/include/turmeric/state/route_base.h
+++ b/packages/state/include/turmeric/state/route_base.h
@@ -19,11 +19,29 @@
   const target_config* target = nullptr;
 };
 
+/** Targets of a service's buckets. A flow belongs to one bucket for ever; a
+ * bucket changes its target only with the configuration. */
+struct bucket_table {
+  std::vector<target_id> targets;  ///< A power of two; invalid for none.
+
+  /** @return The bucket of @p flow. */
+  uint32_t bucket_of(flow_id flow) const {
+    return static_cast<uint32_t>(hash_pair(flow.value, 0) &
+                                 (targets.size() - 1));
+  }
+};
+
+/** Spreads buckets evenly over the targets that take new flows. A change of
+ * the set moves little more than the buckets of the targets that changed. */
+bucket_table make_buckets(const service_config& service,
+                          const std::vector<const target_config*>& eligible);
+
 /** Services and targets of one revision. */
 struct service_index {
   revision in_force = 0;
   std::unordered_map<service_id, std::shared_ptr<const service_config>>
       services;
+  std::unordered_map<service_id, std::shared_ptr<const bucket_table>> buckets;
   std::unordered_map<target_id, target_place> targets;
   std::unordered_set<zone_id> zones_out;
   std::unordered_set<target_id> draining;
@@ -49,8 +67,11 @@
   struct cached_service {
     revision changed = 0;
     std::shared_ptr<const service_config> service;
+    std::vector<const target_config*> eligible;
+    std::shared_ptr<const bucket_table> buckets;
   };
   void add_service(const config_entry& entry, service_index* index);
+  void add_buckets(service_index* index);
 
   std::unordered_map<std::string, cached_service> cache_;
 };
@@ -58,6 +79,7 @@
 /** Everything a traffic thread decides on. Replaced whole, never changed. */
 struct route_table {
   std::shared_ptr<const service_index> index;
+  std::shared_ptr<const service_index> announced;  ///< Newest one known.
   member_record self;
   std::vector<member_record> members;  ///< Known live or leaving ones.
 
@@ -68,8 +90,18 @@
   /** @return The record of @p id, or null. */
   const member_record* find_member(member_id id) const;
 
+  /** @return The @p rank-th best usable member of the own zone for @p key, or
+   * null. Rank 0 owns what the key names, rank 1 would own it next. */
+  const member_record* owner_in_zone(uint64_t key, size_t rank) const;
+
   /** @return Some live member of @p zone chosen by @p key, or null. */
   const member_record* contact_in(zone_id zone, uint64_t key) const;
+
+  /** @return As contact_in(), but none that is about to stop. */
+  const member_record* usable_contact_in(zone_id zone, uint64_t key) const;
+
+  /** @return All zones with a usable member, the best one for @p key first. */
+  std::vector<zone_id> zones_by(uint64_t key) const;
 };
 
 /** Chooses a target for a new flow by rendezvous hashing, so that a change of
--- a/packages/state/src/member.cpp
+++ b/packages/state/src/member.cpp
@@ -5,6 +5,11 @@
 
 namespace turmeric {
 
+bool is_usable(const member_record& member) {
+  return member.state == member_state::live ||
+         member.state == member_state::suspect;
+}
+
 std::string_view name_of(member_state state) {
   static constexpr std::array<std::string_view, 4> names = {"live", "suspect",
                                                             "leaving", "dead"};
--- a/packages/state/src/route.cpp
+++ b/packages/state/src/route.cpp
@@ -1,10 +1,17 @@
 /** @file route.cpp Building and reading of routing snapshots. */
+#include <algorithm>
 #include <string_view>
 
 #include "turmeric/state/config_key_func.h"
 #include "turmeric/state/route_base.h"
 
 namespace turmeric {
+namespace {
+
+constexpr size_t min_buckets = 64;
+constexpr size_t buckets_per_target = 32;
+
+}  // namespace
 
 const target_place* service_index::find(service_id service,
                                         target_id id) const {
@@ -32,12 +39,31 @@
     cached.changed = entry.changed;
     cached.service =
         std::make_shared<const service_config>(std::move(parsed.value()));
+    cached.buckets.reset();
   }
   index->services[cached.service->id] = cached.service;
   for (const auto& target : cached.service->targets)
     index->targets[target.id] = target_place{cached.service, &target};
 }
 
+void index_builder::add_buckets(service_index* index) {
+  for (auto& [key, cached] : cache_) {
+    if (!cached.service || index->services.count(cached.service->id) == 0)
+      continue;
+    std::vector<const target_config*> eligible;
+    for (const auto& target : cached.service->targets) {
+      if (index->takes_new_flows(target))
+        eligible.push_back(&target);
+    }
+    if (!cached.buckets || cached.eligible != eligible) {
+      cached.buckets = std::make_shared<const bucket_table>(
+          make_buckets(*cached.service, eligible));
+      cached.eligible = std::move(eligible);
+    }
+    index->buckets[cached.service->id] = cached.buckets;
+  }
+}
+
 std::shared_ptr<const service_index> index_builder::build(
     const config_state& state) {
   auto index = std::make_shared<service_index>();
@@ -63,16 +89,68 @@
         break;
     }
   }
+  add_buckets(index.get());
   return index;
 }
 
+bucket_table make_buckets(const service_config& service,
+                          const std::vector<const target_config*>& eligible) {
+  bucket_table table;
+  size_t count = min_buckets;
+  while (count < service.targets.size() * buckets_per_target)
+    count *= 2;
+  table.targets.resize(count);
+  if (eligible.empty())
+    return table;
+  const size_t cap = (count + eligible.size() - 1) / eligible.size();
+  std::vector<size_t> used(eligible.size(), 0);
+  for (size_t bucket = 0; bucket < count; ++bucket) {
+    const uint64_t seed = hash_pair(service.id.value, bucket);
+    size_t best = eligible.size();
+    uint64_t best_score = 0;
+    for (size_t i = 0; i < eligible.size(); ++i) {
+      const uint64_t score = hash_pair(seed, eligible[i]->id.value);
+      const bool better = best == eligible.size() || score > best_score;
+      if (used[i] < cap && better) {
+        best = i;
+        best_score = score;
+      }
+    }
+    table.targets[bucket] = eligible[best]->id;
+    ++used[best];
+  }
+  return table;
+}
+
+const member_record* route_table::owner_in_zone(uint64_t key,
+                                                size_t rank) const {
+  const member_record* best = nullptr;
+  uint64_t bound = 0;
+  for (size_t i = 0; i <= rank; ++i) {
+    const member_record* next = nullptr;
+    uint64_t next_score = 0;
+    for (const auto& member : members) {
+      const bool usable = member.zone == self.zone && is_usable(member);
+      const uint64_t score = hash_pair(key, member.id.value);
+      const bool below = i == 0 || score < bound;
+      if (usable && below && (next == nullptr || score > next_score)) {
+        next = &member;
+        next_score = score;
+      }
+    }
+    if (next == nullptr)
+      return nullptr;
+    best = next;
+    bound = next_score;
+  }
+  return best;
+}
+
 member_id route_table::home_of(const target_config& target) const {
   member_id best;
   uint64_t best_score = 0;
   for (const auto& member : members) {
-    const bool usable = member.state == member_state::live ||
-                        member.state == member_state::suspect;
-    if (member.zone != target.zone || !usable)
+    if (member.zone != target.zone || !is_usable(member))
       continue;
     const uint64_t score = hash_pair(target.id.value, member.id.value);
     if (!best.valid() || score > best_score) {
@@ -91,12 +169,16 @@
   return nullptr;
 }
 
-const member_record* route_table::contact_in(zone_id zone,
-                                             uint64_t key) const {
+namespace {
+
+template <typename Filter>
+const member_record* best_member(const std::vector<member_record>& members,
+                                 uint64_t key,
+                                 const Filter& wanted) {
   const member_record* best = nullptr;
   uint64_t best_score = 0;
   for (const auto& member : members) {
-    if (member.zone != zone || member.state == member_state::dead)
+    if (!wanted(member))
       continue;
     const uint64_t score = hash_pair(key, member.id.value);
     if (best == nullptr || score > best_score) {
@@ -107,6 +189,43 @@
   return best;
 }
 
+}  // namespace
+
+const member_record* route_table::contact_in(zone_id zone,
+                                             uint64_t key) const {
+  const member_record* usable = usable_contact_in(zone, key);
+  if (usable != nullptr)
+    return usable;
+  return best_member(members, key, [&](const member_record& m) {
+    return m.zone == zone && m.state != member_state::dead;
+  });
+}
+
+const member_record* route_table::usable_contact_in(zone_id zone,
+                                                    uint64_t key) const {
+  return best_member(members, key, [&](const member_record& m) {
+    return m.zone == zone && is_usable(m);
+  });
+}
+
+std::vector<zone_id> route_table::zones_by(uint64_t key) const {
+  std::vector<std::pair<uint64_t, zone_id>> scored;
+  for (const auto& member : members) {
+    if (!is_usable(member))
+      continue;
+    const std::pair entry(hash_pair(key, member.zone.value), member.zone);
+    if (std::find(scored.begin(), scored.end(), entry) == scored.end())
+      scored.push_back(entry);
+  }
+  std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+    return a.first > b.first;
+  });
+  std::vector<zone_id> out;
+  for (const auto& [score, zone] : scored)
+    out.push_back(zone);
+  return out;
+}
+
 const target_config* choose_target(const service_index& index,
                                    const service_config& service,
                                    flow_id flow) {
--- /dev/null
+++ b/tests/harness/prove_main.cpp
@@ -0,0 +1,229 @@
+/** @file prove_main.cpp Runs seeded histories and checks the promises.
+ *
+ * Equal options give equal output, byte for byte.
+ */
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <array>
+#include <atomic>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "checkers.h"
+#include "fault_plan.h"
+#include "sim_world.h"
+
+namespace turmeric::tests {
+namespace {
+
+constexpr int default_runs = 300;
+/** Runs tried before a planted fault counts as not found. */
+constexpr int plant_runs = 60;
+constexpr unsigned max_threads = 6;
+
+struct prove_options {
+  std::string promise;
+  uint64_t seed = 1;
+  int runs = default_runs;
+  bool plant = false;
+  bool history = false;  ///< Print the history of one run instead.
+  bool planned = false;  ///< Of planned changes only.
+};
+
+/** The first violation of one promise. */
+struct first_violation {
+  uint64_t seed = 0;
+  bool planned = false;
+  violation what;
+};
+
+struct promise_result {
+  uint64_t runs = 0;
+  uint64_t faults = 0;
+  std::optional<first_violation> first;
+};
+
+sim_options options_for(const promise_row& row,
+                        uint64_t seed,
+                        bool planned,
+                        bool plant) {
+  sim_options o = plan_run(seed, planned);
+  if (plant)
+    row.plant(&o);
+  return o;
+}
+
+/** Drops faults one by one while the violation stays. */
+sim_options shorten(const promise_row& row, sim_options o) {
+  for (size_t i = 0; i < o.faults.size();) {
+    sim_options fewer = o;
+    fewer.faults.erase(fewer.faults.begin() + static_cast<std::ptrdiff_t>(i));
+    if (row.check(simulate(fewer), fewer))
+      o = std::move(fewer);
+    else
+      ++i;
+  }
+  return o;
+}
+
+void print_violation(const promise_row& row,
+                     const first_violation& first,
+                     bool plant) {
+  fmt::print("{} VIOLATED seed={} runs={}\n", row.name, first.seed,
+             first.planned ? "planned" : "all");
+  const sim_options shortest =
+      shorten(row, options_for(row, first.seed, first.planned, plant));
+  const auto what = row.check(simulate(shortest), shortest);
+  fmt::print("  loss {}%, duplicates {}%, jitter up to {} ms\n",
+             shortest.loss_percent, shortest.duplicate_percent,
+             shortest.max_jitter / us_per_ms);
+  for (const fault& f : shortest.faults)
+    fmt::print("  {}\n", describe(f));
+  fmt::print("  {:>6} ms  {}\n", what->at / us_per_ms, what->text);
+}
+
+/** Runs all seeds on a few threads; results do not depend on their order. */
+std::vector<promise_result> run_all(const prove_options& options,
+                                    const std::vector<promise_row>& rows) {
+  std::vector<promise_result> results(rows.size());
+  std::mutex mutex;
+  std::atomic<int> next{0};
+  const auto work = [&] {
+    for (int i = next++; i < options.runs; i = next++) {
+      const uint64_t seed = options.seed + static_cast<uint64_t>(i);
+      for (const bool planned : {false, true}) {
+        const sim_options o = options.plant
+                                  ? options_for(rows.front(), seed, planned, true)
+                                  : plan_run(seed, planned);
+        const history events = simulate(o);
+        for (size_t r = 0; r < rows.size(); ++r) {
+          if (rows[r].planned_only && !planned)
+            continue;
+          const auto what = rows[r].check(events, o);
+          const std::lock_guard<std::mutex> lock(mutex);
+          ++results[r].runs;
+          results[r].faults += o.faults.size();
+          auto& first = results[r].first;
+          const bool earlier =
+              what && (!first || seed < first->seed ||
+                       (seed == first->seed && !planned));
+          if (earlier)
+            first = first_violation{seed, planned, *what};
+        }
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  const unsigned count =
+      std::clamp(std::thread::hardware_concurrency(), 1u, max_threads);
+  for (unsigned i = 0; i < count; ++i)
+    threads.emplace_back(work);
+  for (auto& t : threads)
+    t.join();
+  return results;
+}
+
+const char* name_of(event_kind kind) {
+  constexpr std::array<const char*, static_cast<size_t>(event_kind::end)>
+      names = {"accepted", "in_force",  "work",      "overload",  "evidence",
+               "packet_in", "result",   "started",   "ended",     "target_cold",
+               "disturbed", "calm"};
+  return names[static_cast<size_t>(kind)];
+}
+
+int print_history(const prove_options& options) {
+  const sim_options o = plan_run(options.seed, options.planned);
+  for (const fault& f : o.faults)
+    fmt::print("# {}\n", describe(f));
+  for (const auto& e : simulate(o)) {
+    fmt::print("{:>9} {} balancer={} target={} request={} flow={:x} "
+               "revision={} code={} opens={} known={} cold={}\n",
+               e.at, name_of(e.kind), e.balancer, e.target, e.request, e.flow,
+               e.number, row_of(e.code).name, e.opens, e.known_flow, e.cold);
+  }
+  return 0;
+}
+
+int prove(const prove_options& options) {
+  if (options.history)
+    return print_history(options);
+  std::vector<promise_row> rows;
+  for (const auto& row : promises()) {
+    if (options.promise.empty() || options.promise == row.name)
+      rows.push_back(row);
+  }
+  const bool good = !rows.empty() && (!options.plant || rows.size() == 1);
+  if (!good) {
+    fmt::print(stderr, "--plant needs --promise; promises are:\n");
+    for (const auto& row : promises())
+      fmt::print(stderr, "  {}\n", row.name);
+    return 2;
+  }
+  const auto results = run_all(options, rows);
+  int violated = 0;
+  for (size_t i = 0; i < rows.size(); ++i) {
+    const promise_result& r = results[i];
+    if (!r.first) {
+      fmt::print("{} held runs={} faults={}\n", rows[i].name, r.runs, r.faults);
+      continue;
+    }
+    ++violated;
+    print_violation(rows[i], *r.first, options.plant);
+  }
+  return violated == 0 ? 0 : 1;
+}
+
+int main_of(int argc, char** argv) {
+  const option rows[] = {{"promise", required_argument, nullptr, 'p'},
+                         {"seed", required_argument, nullptr, 's'},
+                         {"runs", required_argument, nullptr, 'r'},
+                         {"plant", no_argument, nullptr, 'P'},
+                         {"history", no_argument, nullptr, 'H'},
+                         {"planned", no_argument, nullptr, 'L'},
+                         {"help", no_argument, nullptr, 'h'},
+                         {nullptr, 0, nullptr, 0}};
+  prove_options options;
+  bool runs_given = false;
+  for (int c = 0; (c = getopt_long(argc, argv, "", rows, nullptr)) != -1;) {
+    switch (c) {
+      case 'p':
+        options.promise = optarg;
+        break;
+      case 's':
+        options.seed = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'r':
+        options.runs = std::atoi(optarg);
+        runs_given = true;
+        break;
+      case 'P':
+        options.plant = true;
+        break;
+      case 'H':
+        options.history = true;
+        break;
+      case 'L':
+        options.planned = true;
+        break;
+      default:
+        fmt::print("Usage: prove [--promise NAME] [--seed N] [--runs N] "
+                   "[--plant]\n"
+                   "       prove --history [--planned] [--seed N]\n");
+        return c == 'h' ? 0 : 2;
+    }
+  }
+  if (options.plant && !runs_given)
+    options.runs = plant_runs;
+  return prove(options);
+}
+
+}  // namespace
+}  // namespace turmeric::tests
+
+int main(int argc, char** argv) {
+  return turmeric::tests::main_of(argc, argv);
+}
--- /dev/null
+++ b/tests/harness/sim_balancer.cpp
@@ -0,0 +1,331 @@
+/** @file sim_balancer.cpp Balancers of the simulated cluster. */
+#include "sim_world.h"
+#include "turmeric/state/json_func.h"
+#include "turmeric/state/service_type.h"
+
+namespace turmeric::tests {
+namespace {
+
+constexpr time_us control_tick = 20 * us_per_ms;
+constexpr time_us traffic_tick = 10 * us_per_ms;
+constexpr time_us connect_timeout = 300 * us_per_ms;
+constexpr time_us linger = 1500 * us_per_ms;
+constexpr time_us stop_poll = 20 * us_per_ms;
+constexpr uint16_t peer_port = 2;
+constexpr uint16_t gossip_port = 3;
+/** Datagrams that a paused process's socket buffers hold. */
+constexpr size_t backlog_limit = 2000;
+
+endpoint address_of(int number, uint16_t port) {
+  return {0x0a000000u + static_cast<uint32_t>(number), port};
+}
+
+std::string zone_name(int zone) {
+  return "zone" + std::to_string(zone);
+}
+
+control_options make_control_options() {
+  control_options o;
+  for (int i = 0; i < balancer_count; ++i)
+    o.members.seeds.push_back(address_of(i, gossip_port));
+  o.watch_timeout = 3 * us_per_s;
+  return o;
+}
+
+traffic_options make_traffic_options() {
+  traffic_options o;
+  o.flows.flow_timeout = 2 * us_per_s;
+  o.flows.note_interval = 500 * us_per_ms;
+  return o;
+}
+
+/** Hash of what a revision makes a balancer do. */
+uint64_t content_of(const service_index& index) {
+  uint64_t sum = 0;
+  for (const auto& [id, service] : index.services)
+    sum += hash_name(to_json(*service));
+  for (const zone_id zone : index.zones_out)
+    sum += hash_pair(zone.value, 1);
+  for (const target_id target : index.draining)
+    sum += hash_pair(target.value, 2);
+  return sum;
+}
+
+}  // namespace
+
+void sim_world::start_balancer(int number) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  b.alive = true;
+  b.frozen = false;
+  b.stopping = false;
+  b.backlog.clear();
+  ++b.generation;
+  b.incarnation = static_cast<uint64_t>(clock_.now()) + 1;
+  b.in_force = 0;
+  b.next_table.reset();
+  record_life(number, event_kind::started);
+  member_record self;
+  self.name = "balancer" + std::to_string(number);
+  self.id = id_of<member_id>(self.name);
+  self.zone = id_of<zone_id>(zone_name(b.zone));
+  self.incarnation = b.incarnation;
+  self.gossip = address_of(number, gossip_port);
+  self.peer = address_of(number, peer_port);
+  const random_source source = [this] { return random(); };
+  b.control =
+      std::make_unique<control_core>(make_control_options(), self, source);
+  b.traffic = std::make_unique<traffic_core>(make_traffic_options(), self,
+                                             source, options_.plants);
+  tick_control(number, b.generation);
+  tick_traffic(number, b.generation);
+}
+
+void sim_world::record_life(int number, event_kind kind) {
+  history_event e;
+  e.kind = kind;
+  e.balancer = number;
+  record(e);
+}
+
+void sim_world::tick_control(int number, uint64_t generation) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  if (!b.alive || b.generation != generation)
+    return;
+  if (!b.frozen)
+    execute(b, b.control->tick(clock_.now()));
+  clock_.after(control_tick,
+               [=, this_ = this] { this_->tick_control(number, generation); });
+}
+
+void sim_world::tick_traffic(int number, uint64_t generation) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  if (!b.alive || b.generation != generation)
+    return;
+  if (!b.frozen)
+    execute(b, b.traffic->tick(clock_.now()));
+  clock_.after(traffic_tick,
+               [=, this_ = this] { this_->tick_traffic(number, generation); });
+}
+
+void sim_world::execute(balancer& b, std::vector<control_action> actions) {
+  for (auto& action : actions) {
+    if (auto* gossip = std::get_if<gossip_out>(&action))
+      send_gossip(b, *gossip);
+    else if (auto* call = std::get_if<platform_call>(&action))
+      call_platform_from(b, *call);
+    else
+      take_table(b, std::get<publish_routes>(action).table);
+  }
+}
+
+void sim_world::send_gossip(balancer& from, const gossip_out& out) {
+  const auto to = static_cast<int>(out.to.ip - 0x0a000000u);
+  balancer& receiver = *balancers_[static_cast<size_t>(to)];
+  const endpoint source = address_of(from.number, gossip_port);
+  transmit(from.zone, receiver.zone, [this, to, source, m = out.message] {
+    balancer& b = *balancers_[static_cast<size_t>(to)];
+    if (b.frozen && b.backlog.size() >= backlog_limit)
+      return;
+    deliver(to, b.generation, [this, to, source, m] {
+      balancer& here = *balancers_[static_cast<size_t>(to)];
+      execute(here, here.control->receive(clock_.now(), source, m));
+    });
+  });
+}
+
+void sim_world::call_platform_from(balancer& from, const platform_call& call) {
+  const int number = from.number;
+  const uint64_t generation = from.generation;
+  platform_call_at(call, from.zone,
+                   [this, number, generation](platform_reply reply) {
+                     deliver(number, generation, [this, number, reply] {
+                       balancer& b = *balancers_[static_cast<size_t>(number)];
+                       execute(b, b.control->platform(clock_.now(), reply));
+                     });
+                   });
+}
+
+void sim_world::take_table(balancer& b,
+                           std::shared_ptr<const route_table> table) {
+  const bool stuck = options_.plant_stuck && b.number == 0 && b.in_force > 0;
+  if (stuck)
+    return;
+  b.next_table = std::move(table);
+  const int number = b.number;
+  const uint64_t generation = b.generation;
+  // The traffic thread takes the snapshot a moment later.
+  clock_.after(static_cast<time_us>(random() % 2000), [=, this_ = this] {
+    this_->deliver(number, generation, [this_, number] {
+      balancer& here = *this_->balancers_[static_cast<size_t>(number)];
+      if (!here.next_table)
+        return;
+      const auto next = std::move(here.next_table);
+      const service_index& index = *next->index;
+      if (index.in_force != here.in_force) {
+        history_event e;
+        e.kind = event_kind::in_force;
+        e.balancer = number;
+        e.incarnation = here.incarnation;
+        e.number = index.in_force;
+        e.content = content_of(index);
+        this_->record(e);
+        here.in_force = index.in_force;
+      }
+      this_->execute(here, here.traffic->routes(this_->clock_.now(), next));
+    });
+  });
+}
+
+void sim_world::execute(balancer& b, std::vector<traffic_action> actions) {
+  for (auto& action : actions) {
+    if (auto* send = std::get_if<send_packet>(&action))
+      send_traffic(b, *send);
+    else if (auto* start = std::get_if<start_work>(&action))
+      start_work_on(b, *start);
+    else
+      cancel_work_on(b, std::get<cancel_work>(action));
+  }
+}
+
+void sim_world::send_traffic(balancer& from, const send_packet& out) {
+  if (out.to_peer) {
+    const auto to = static_cast<int>(out.to.ip - 0x0a000000u);
+    balancer& receiver = *balancers_[static_cast<size_t>(to)];
+    transmit(from.zone, receiver.zone, [this, to, m = out.body] {
+      balancer& b = *balancers_[static_cast<size_t>(to)];
+      if (b.frozen && b.backlog.size() >= backlog_limit)
+        return;
+      deliver(to, b.generation, [this, to, m] {
+        balancer& here = *balancers_[static_cast<size_t>(to)];
+        execute(here, here.traffic->from_peer(clock_.now(), m));
+      });
+    });
+    return;
+  }
+  if (target* t = target_at(out.to)) {
+    const int number = t->number;
+    const int sender = from.number;
+    transmit(from.zone, t->zone, [this, number, sender, m = out.body] {
+      if (const auto* d = std::get_if<datagram>(&m))
+        arrive_datagram(number, *d, sender);
+    });
+    return;
+  }
+  transmit(from.zone, outside_zone, [this, to = out.to, m = out.body] {
+    receive_at_caller(to, m);
+  });
+}
+
+void sim_world::start_work_on(balancer& from, const start_work& work) {
+  target* t = target_at(work.target);
+  const int number = from.number;
+  const uint64_t generation = from.generation;
+  const bool reachable = t != nullptr && !cut(from.zone, t->zone) &&
+                         !cut(t->zone, from.zone);
+  if (!reachable) {
+    const int target_number = t == nullptr ? -1 : t->number;
+    clock_.after(connect_timeout, [=, this_ = this] {
+      this_->end_work(number, generation, target_number,
+                      {work.serial, work_status::unreachable, 0, ""});
+    });
+    return;
+  }
+  const int target_number = t->number;
+  clock_.after(delay(from.zone, t->zone), [=, this_ = this] {
+    this_->arrive_work(target_number, work, number, generation);
+  });
+}
+
+void sim_world::cancel_work_on(balancer& from, const cancel_work& work) {
+  target* t = target_at(work.target);
+  if (t == nullptr || cut(from.zone, t->zone))
+    return;
+  for (auto& [key, running] : t->running) {
+    if (running.request == work.request.value)
+      running.cancelled = true;
+  }
+}
+
+void sim_world::end_work(int number,
+                         uint64_t generation,
+                         int target_number,
+                         work_result end) {
+  deliver(number, generation, [this, number, target_number, end] {
+    balancer& b = *balancers_[static_cast<size_t>(number)];
+    if (end.status != work_status::answered && target_number >= 0) {
+      history_event e;
+      e.kind = event_kind::evidence;
+      e.balancer = number;
+      e.incarnation = b.incarnation;
+      e.target = target_number;
+      record(e);
+    }
+    execute(b, b.traffic->work_ended(clock_.now(), end));
+  });
+}
+
+void sim_world::graceful_stop(int number, time_us down_for) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  if (!b.alive || b.frozen || b.stopping)
+    return;
+  b.stopping = true;
+  b.stop_began = clock_.now();
+  execute(b, b.control->leave(clock_.now()));
+  b.traffic->stop();
+  if (options_.plants.drop_on_stop) {
+    crash(number, down_for);
+    return;
+  }
+  finish_stop(number, b.generation, down_for);
+}
+
+void sim_world::finish_stop(int number, uint64_t generation, time_us down_for) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  if (!b.alive || b.generation != generation)
+    return;
+  const bool lingered = clock_.now() - b.stop_began >= linger;
+  if (!lingered || !b.traffic->idle() || b.frozen) {
+    clock_.after(stop_poll, [=, this_ = this] {
+      this_->finish_stop(number, generation, down_for);
+    });
+    return;
+  }
+  crash(number, down_for);
+}
+
+void sim_world::crash(int number, time_us down_for) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  if (!b.alive)
+    return;
+  b.alive = false;
+  record_life(number, event_kind::ended);
+  clock_.after(down_for, [this, number] {
+    if (!balancers_[static_cast<size_t>(number)]->alive)
+      start_balancer(number);
+  });
+}
+
+void sim_world::freeze(int number, time_us lasts) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  if (!b.alive || b.frozen)
+    return;
+  b.frozen = true;
+  set_disturbed(number, true);
+  const uint64_t generation = b.generation;
+  clock_.after(lasts, [=, this_ = this] { this_->thaw(number, generation); });
+}
+
+void sim_world::thaw(int number, uint64_t generation) {
+  balancer& b = *balancers_[static_cast<size_t>(number)];
+  set_disturbed(number, false);
+  if (!b.alive || b.generation != generation)
+    return;
+  b.frozen = false;
+  while (!b.backlog.empty() && b.alive) {
+    const sim_clock::event next = std::move(b.backlog.front());
+    b.backlog.pop_front();
+    next();
+  }
+}
+
+}  // namespace turmeric::tests
--- /dev/null
+++ b/tests/harness/sim_caller.cpp
@@ -0,0 +1,148 @@
+/** @file sim_caller.cpp Callers and the fabric of the simulated cluster. */
+#include "sim_world.h"
+
+namespace turmeric::tests {
+
+std::string expected_answer(uint64_t request, const std::string& service);
+
+namespace {
+
+constexpr time_us caller_tick = 20 * us_per_ms;
+constexpr time_us request_pause = 120 * us_per_ms;
+constexpr time_us packet_pause = 80 * us_per_ms;
+constexpr time_us first_request = 1500 * us_per_ms;
+constexpr time_us request_time = 3 * us_per_s;
+constexpr uint32_t caller_ip = 0x0a020000u;
+constexpr uint32_t flows_per_caller = 3;
+
+}  // namespace
+
+void sim_world::start_callers() {
+  for (int i = 0; i < caller_count; ++i) {
+    callers_.push_back(std::make_unique<caller>());
+    caller& c = *callers_.back();
+    c.number = i;
+    c.core = std::make_unique<caller_core>(caller_options{},
+                                           [this] { return random(); });
+    const auto offset = static_cast<time_us>(random() % 500000);
+    clock_.after(first_request + offset, [this, i] { next_request(i); });
+    clock_.after(first_request + offset, [this, i] { next_packet(i); });
+    tick_caller(i);
+  }
+}
+
+void sim_world::tick_caller(int number) {
+  caller& c = *callers_[static_cast<size_t>(number)];
+  execute(c, c.core->tick(clock_.now()));
+  clock_.after(caller_tick, [this, number] { tick_caller(number); });
+}
+
+void sim_world::next_request(int number) {
+  if (quiet_)
+    return;
+  caller& c = *callers_[static_cast<size_t>(number)];
+  caller_request r;
+  const uint64_t id = ++next_request_;
+  const std::string service = random() % 4 == 0 ? "club/archive" : "club/notes";
+  r.id = request_id{id};
+  r.service = id_of<service_id>(service);
+  r.flow = flow_id{hash_pair(static_cast<uint64_t>(number), id / 40)};
+  r.repeatable = random() % 2 == 0;
+  r.work = random() % 4 == 0 ? work_class::bulk : work_class::interactive;
+  r.body = service;
+  r.deadline = clock_.now() + request_time;
+  c.sent[id] = r;
+  execute(c, c.core->submit(clock_.now(), r));
+  if (random() % 40 == 0)
+    execute(c, c.core->cancel(clock_.now(), r.id));
+  const auto jitter = static_cast<time_us>(random() % request_pause);
+  clock_.after(request_pause + jitter, [this, number] { next_request(number); });
+}
+
+void sim_world::next_packet(int number) {
+  if (quiet_)
+    return;
+  caller& c = *callers_[static_cast<size_t>(number)];
+  if (c.flows.size() < flows_per_caller) {
+    opaque_flow f;
+    f.flow = flow_id{random()};
+    f.service = random() % 3 == 0 ? "club/archive" : "club/notes";
+    f.packets_left = 10 + static_cast<int>(random() % 150);
+    c.flows.push_back(f);
+  }
+  const size_t pick = random() % c.flows.size();
+  opaque_flow& f = c.flows[pick];
+  datagram m;
+  m.service = id_of<service_id>(f.service);
+  m.flow = f.flow;
+  m.opens = !f.opened;
+  m.payload = "x";
+  // The opening packet of a flow is sent until its answer comes; here the
+  // target's record stands for the answer.
+  bool accepted = false;
+  for (const auto& t : targets_)
+    accepted = accepted || t->flows.count(f.flow.value) > 0;
+  f.opened = f.opened || accepted;
+  m.opens = !f.opened;
+  send_from_caller(c, packet(m));
+  if (--f.packets_left <= 0)
+    c.flows.erase(c.flows.begin() + static_cast<std::ptrdiff_t>(pick));
+  const auto jitter = static_cast<time_us>(random() % packet_pause);
+  clock_.after(packet_pause / flows_per_caller + jitter,
+               [this, number] { next_packet(number); });
+}
+
+void sim_world::send_from_caller(caller& c, packet body) {
+  const endpoint from{caller_ip + static_cast<uint32_t>(c.number),
+                      static_cast<uint16_t>(1 + c.path)};
+  const int to = static_cast<int>(random() % balancer_count);
+  const int zone = balancers_[static_cast<size_t>(to)]->zone;
+  transmit(outside_zone, zone, [this, to, from, body] {
+    balancer& b = *balancers_[static_cast<size_t>(to)];
+    if (b.frozen && b.backlog.size() >= 2000)
+      return;
+    deliver(to, b.generation, [this, to, from, body] {
+      balancer& here = *balancers_[static_cast<size_t>(to)];
+      execute(here, here.traffic->from_caller(clock_.now(), from, body));
+    });
+  });
+}
+
+void sim_world::receive_at_caller(endpoint to, const packet& body) {
+  const size_t number = to.ip - caller_ip;
+  if (number >= callers_.size())
+    return;
+  caller& c = *callers_[number];
+  const bool current = to.port == 1 + c.path;
+  if (!current || c.silenced)
+    return;
+  execute(c, c.core->receive(clock_.now(), body));
+}
+
+void sim_world::execute(caller& c, std::vector<caller_action> actions) {
+  for (auto& action : actions) {
+    if (auto* send = std::get_if<caller_send>(&action)) {
+      send_from_caller(c, std::move(send->body));
+    } else if (auto* result = std::get_if<caller_result>(&action)) {
+      caller_done(c, *result);
+    } else {
+      ++c.path;
+      c.silenced = false;
+    }
+  }
+}
+
+void sim_world::caller_done(caller& c, const caller_result& result) {
+  const caller_request& r = c.sent.at(result.id.value);
+  history_event e;
+  e.kind = event_kind::result;
+  e.request = result.id.value;
+  e.service = r.body;
+  e.repeatable = r.repeatable;
+  e.code = result.code;
+  e.deadline = r.deadline;
+  e.whole = result.body == expected_answer(result.id.value, r.body);
+  record(e);
+}
+
+}  // namespace turmeric::tests
--- /dev/null
+++ b/tests/harness/sim_clock.h
@@ -0,0 +1,53 @@
+/** @file sim_clock.h Virtual time: events in order of time, then of creation. */
+#ifndef TURMERIC_TESTS_HARNESS_SIM_CLOCK_H_
+#define TURMERIC_TESTS_HARNESS_SIM_CLOCK_H_
+
+#include <functional>
+#include <queue>
+#include <vector>
+
+#include "turmeric/state/time_type.h"
+
+namespace turmeric::tests {
+
+/** Runs events in virtual time. */
+class sim_clock {
+ public:
+  using event = std::function<void()>;
+
+  /** @return The current virtual time. */
+  time_us now() const { return now_; }
+
+  /** Runs @p fn after @p delay. */
+  void after(time_us delay, event fn) {
+    queue_.push({now_ + delay, next_++, std::move(fn)});
+  }
+
+  /** Runs everything up to @p end. */
+  void run_until(time_us end) {
+    while (!queue_.empty() && queue_.top().at <= end) {
+      entry next = std::move(const_cast<entry&>(queue_.top()));
+      queue_.pop();
+      now_ = next.at;
+      next.fn();
+    }
+    now_ = end;
+  }
+
+ private:
+  struct entry {
+    time_us at;
+    uint64_t order;
+    event fn;
+    bool operator<(const entry& o) const {
+      return at != o.at ? at > o.at : order > o.order;
+    }
+  };
+  std::priority_queue<entry> queue_;
+  time_us now_ = 0;
+  uint64_t next_ = 0;
+};
+
+}  // namespace turmeric::tests
+
+#endif  // TURMERIC_TESTS_HARNESS_SIM_CLOCK_H_
--- /dev/null
+++ b/tests/harness/sim_world.h
@@ -0,0 +1,180 @@
+/** @file sim_world.h A cluster in memory and in virtual time. */
+#ifndef TURMERIC_TESTS_HARNESS_SIM_WORLD_H_
+#define TURMERIC_TESTS_HARNESS_SIM_WORLD_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "platform_store.h"
+#include "sim_clock.h"
+#include "sim_types.h"
+#include "turmeric/coordination/caller_core_base.h"
+#include "turmeric/coordination/change_commit_base.h"
+#include "turmeric/coordination/control_core_base.h"
+#include "turmeric/coordination/traffic_core_base.h"
+
+namespace turmeric::tests {
+
+constexpr int zone_count = 3;
+constexpr int balancer_count = 6;
+constexpr int caller_count = 8;
+/** Zone number of the platform, for cuts. */
+constexpr int platform_zone = zone_count;
+/** Zone number of callers; no cut concerns them. */
+constexpr int outside_zone = -1;
+
+/** Runs the cores of all parties; see sim_options. */
+class sim_world {
+ public:
+  explicit sim_world(sim_options options);
+  ~sim_world();
+
+  /** Runs to the end. @return What happened. */
+  const history& run();
+
+ private:
+  struct balancer {
+    int number = 0;
+    int zone = 0;
+    bool alive = false;
+    bool frozen = false;
+    bool stopping = false;
+    time_us stop_began = 0;
+    uint64_t generation = 0;
+    std::unique_ptr<control_core> control;
+    std::unique_ptr<traffic_core> traffic;
+    std::shared_ptr<const route_table> next_table;
+    std::deque<sim_clock::event> backlog;
+    revision in_force = 0;
+    uint64_t incarnation = 0;
+  };
+  struct running_work {
+    int balancer = 0;
+    uint64_t generation = 0;
+    uint64_t serial = 0;
+    uint64_t request = 0;
+    bool cancelled = false;
+  };
+  struct target {
+    int number = 0;
+    int zone = 0;
+    std::string name;
+    std::string service;
+    bool alive = true;
+    bool started = false;
+    bool fresh = true;
+    time_us cold_until = 0;
+    uint64_t generation = 0;
+    std::map<uint64_t, running_work> running;
+    std::set<uint64_t> flows;
+  };
+  struct opaque_flow {
+    flow_id flow;
+    std::string service;
+    int packets_left = 0;
+    bool opened = false;
+  };
+  struct caller {
+    int number = 0;
+    uint64_t path = 0;  ///< Grows when a new path is opened.
+    std::unique_ptr<caller_core> core;
+    std::map<uint64_t, caller_request> sent;
+    std::vector<opaque_flow> flows;
+    bool silenced = false;  ///< The current path carries no answers.
+  };
+
+  // sim_world.cpp: network and timing.
+  uint64_t random() { return random_(); }
+  bool chance(uint32_t percent) { return random() % 100 < percent; }
+  time_us delay(int from_zone, int to_zone);
+  bool cut(int from_zone, int to_zone) const;
+  void transmit(int from_zone, int to_zone, const std::function<void()>& fn);
+  void record(history_event event);
+  void deliver(int balancer, uint64_t generation, sim_clock::event fn);
+  void record_life(int balancer, event_kind kind);
+  void set_disturbed(int balancer, bool disturbed);
+
+  // sim_balancer.cpp
+  void start_balancer(int number);
+  void tick_control(int number, uint64_t generation);
+  void tick_traffic(int number, uint64_t generation);
+  void execute(balancer& b, std::vector<control_action> actions);
+  void execute(balancer& b, std::vector<traffic_action> actions);
+  void send_gossip(balancer& from, const gossip_out& out);
+  void call_platform_from(balancer& from, const platform_call& call);
+  void take_table(balancer& b, std::shared_ptr<const route_table> table);
+  void send_traffic(balancer& from, const send_packet& out);
+  void start_work_on(balancer& from, const start_work& work);
+  void cancel_work_on(balancer& from, const cancel_work& work);
+  void end_work(int balancer, uint64_t generation, int target,
+                work_result end);
+  void graceful_stop(int number, time_us down_for);
+  void finish_stop(int number, uint64_t generation, time_us down_for);
+  void crash(int number, time_us down_for);
+  void freeze(int number, time_us lasts);
+  void thaw(int number, uint64_t generation);
+
+  // sim_target.cpp
+  void add_target(const std::string& service, int zone, bool declared);
+  target* target_at(endpoint address);
+  bool cold(const target& t) const;
+  void arrive_work(int target_number, const start_work& work, int balancer,
+                   uint64_t generation);
+  void finish_work(int target_number, uint64_t generation, uint64_t key);
+  void arrive_datagram(int target_number, const datagram& m, int from);
+  void turn_cold(int target_number);
+  void restart_target(int target_number);
+  std::vector<service_config> declared_services() const;
+
+  // sim_caller.cpp
+  void start_callers();
+  void next_request(int number);
+  void next_packet(int number);
+  void tick_caller(int number);
+  void execute(caller& c, std::vector<caller_action> actions);
+  void send_from_caller(caller& c, packet body);
+  void receive_at_caller(endpoint to, const packet& body);
+  void caller_done(caller& c, const caller_result& result);
+
+  // sim_operator.cpp
+  void platform_call_at(const platform_call& call, int from_zone,
+                        const std::function<void(platform_reply)>& reply);
+  void settle_watches();
+  void commit(std::string author, std::vector<config_entry> entries);
+  void run_commit(std::shared_ptr<change_commit> machine, commit_step step);
+  void declare_all();
+  void set_flag(const std::string& key, bool set);
+  void apply_fault(const fault& f);
+  void apply_platform_fault(const fault& f);
+
+  struct waiting_watch {
+    platform_call call;
+    time_us until = 0;
+    std::function<void(platform_reply)> reply;
+  };
+
+  sim_options options_;
+  std::mt19937_64 random_;
+  sim_clock clock_;
+  history history_;
+  std::vector<std::unique_ptr<balancer>> balancers_;
+  std::vector<std::unique_ptr<target>> targets_;
+  std::vector<std::unique_ptr<caller>> callers_;
+  std::set<std::pair<int, int>> cuts_;
+  platform_store store_;
+  std::vector<waiting_watch> watches_;
+  bool polling_ = false;
+  uint64_t next_work_ = 0;
+  uint64_t next_request_ = 0;
+  bool quiet_ = false;  ///< No new requests near the end.
+};
+
+/** Runs one simulation. */
+history simulate(const sim_options& options);
+
+}  // namespace turmeric::tests
+
+#endif  // TURMERIC_TESTS_HARNESS_SIM_WORLD_H_
