--- a/packages/coordination/include/turmeric/coordination/caller_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/caller_core_base.h
@@ -23,6 +23,7 @@
   time_us first_rto = 100 * us_per_ms;  ///< First retransmission.
   time_us max_rto = 250 * us_per_ms;
   time_us silent_path = 1500 * us_per_ms;  ///< Opens a new path after this.
+  time_us least_time = 300 * us_per_ms;  ///< No retry with less time left.
   double retry_ratio = 0.2;   ///< Retries earned by each request.
   double retry_burst = 20.0;  ///< Retries at hand at the most.
 };
@@ -52,7 +53,8 @@
   packet body;
 };
 
-/** Opens a new local path because the old one went silent. */
+/** Opens a new local path because the old one went silent. What still arrives
+ * on the old one is handed in as before. */
 struct caller_new_path {};
 
 /** What the adapters must do for the caller. */
@@ -113,6 +115,7 @@
   void transmit(time_us now, call* c, actions* out);
   void on_grant(time_us now, const permit_grant& m, actions* out);
   void on_answer(time_us now, const answer_part& m, actions* out);
+  void on_pending(time_us now, const request_pending& m);
   void keep_spare(time_us now, const call& c, const answer_part& m);
   void ended(time_us now, call* c, const answer_part& m, std::string body,
              actions* out);
--- a/packages/coordination/include/turmeric/coordination/control_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/control_core_base.h
@@ -25,7 +25,7 @@
   time_us call_timeout = us_per_s;
   time_us watch_timeout = 10 * us_per_s;
   time_us peers_first = 500 * us_per_ms;   ///< Wait for peers at the start.
-  time_us announce = 1500 * us_per_ms;     ///< Longest wait for agreement.
+  time_us announce = us_per_s;     ///< Longest wait for agreement.
   time_us retry_min = 200 * us_per_ms;     ///< First retry of the platform.
   time_us retry_max = 5 * us_per_s;        ///< Longest back-off.
   time_us pull_interval = 300 * us_per_ms; ///< Between two pulls.
--- a/packages/coordination/include/turmeric/coordination/traffic_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_core_base.h
@@ -30,7 +30,7 @@
   time_us remember = 30 * us_per_s;  ///< Final results are kept this long.
   time_us take_over_wait = 2 * us_per_s;
   time_us pause_limit = us_per_s;    ///< A longer gap was a pause.
-  time_us drain_grace = us_per_s;    ///< For permits issued before a drain.
+  time_us drain_grace = 500 * us_per_ms;///< For permits issued before a drain.
   size_t max_body = 32 * 1024;       ///< Bytes of a request.
   size_t max_kept_bytes = 64 << 20;  ///< Answers kept for retransmission.
   size_t max_attempts = 1 << 20;     ///< Permits remembered at once.
@@ -137,6 +137,7 @@
   void on(time_us now, const moving_list& m, actions* out);
   void on(time_us now, const permit_grant& m, actions* out);
   void on(time_us now, const answer_part& m, actions* out);
+  void on(time_us now, const request_pending& m, actions* out);
 
   template <typename Message>
   void forward(Message m, const member_record* to, actions* out);
@@ -148,8 +149,10 @@
   const target_config* pick_target(const service_config& service,
                                    const permit_request& m) const;
   bool may_work_on(const target_config& target) const;
+  bool withdrawn(const target_config& target) const;
   permit issue(time_us now, service_id service, flow_id flow,
                request_id request, target_id target);
+  void send_pending(const attempt& a, actions* out);
   void run(time_us now, const run_request& m, attempt* a, actions* out);
   result_code reason_to_refuse(time_us now, const run_request& m,
                                const attempt& a) const;
--- a/packages/coordination/src/caller_core.cpp
+++ b/packages/coordination/src/caller_core.cpp
@@ -108,9 +108,20 @@
     on_grant(now, *grant, &out);
   else if (const auto* part = std::get_if<answer_part>(&body))
     on_answer(now, *part, &out);
+  else if (const auto* pending = std::get_if<request_pending>(&body))
+    on_pending(now, *pending);
   return out;
 }
 
+void caller_core::on_pending(time_us now, const request_pending& m) {
+  const auto it = open_.find(m.request);
+  if (it == open_.end() || !it->second.right)
+    return;
+  const permit& right = *it->second.right;
+  if (right.serial == m.serial && right.nonce == m.nonce)
+    it->second.first_sent = now;
+}
+
 void caller_core::on_grant(time_us now, const permit_grant& m, actions* out) {
   const auto it = open_.find(m.request);
   if (it == open_.end())
@@ -120,6 +131,12 @@
   if (c.at != stage::asking || !own)
     return;
   flow_targets_[{m.service, m.flow}] = m.granted.target;
+  const bool late = now + options_.least_time / 2 >= c.request.deadline;
+  if (late && c.attempts > 0) {
+    finish(c, c.maybe_ran ? result_code::unknown_outcome : c.last_refusal, "",
+           out);
+    return;
+  }
   c.right = m.granted;
   send_run(now, &c, out);
 }
@@ -205,7 +222,7 @@
   const auto spread = static_cast<uint64_t>(retry_after / 2 + us_per_ms);
   const time_us wait =
       retry_after + static_cast<time_us>(random_() % spread);
-  const bool in_time = now + wait < c->request.deadline;
+  const bool in_time = now + wait + options_.least_time < c->request.deadline;
   if (!may_repeat || !in_time || !spend_retry()) {
     finish(*c, c->maybe_ran ? result_code::unknown_outcome : code, "", out);
     return;
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -222,6 +222,16 @@
 target_id flow_steering::place_new(time_us now,
                                    const datagram& m,
                                    target_id current) {
+  // A withdrawal is heeded as soon as it is announced: what opens on a target
+  // that gets no packets any more would be opened twice.
+  const target_place* place = table_->index->find(m.service, current);
+  const bool withdrawn =
+      place != nullptr && !table_->announced->reachable(*place->target);
+  if (withdrawn && !plants_.ignore_zone_out) {
+    const auto next = table_->announced->buckets.find(m.service);
+    if (next != table_->announced->buckets.end())
+      return next->second->targets[next->second->bucket_of(m.flow)];
+  }
   if (!current.valid() || cold_open_allowed(now, current))
     return current;
   // The flow is recorded, so it may go to any target that takes new flows.
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -165,7 +165,10 @@
 }
 
 void flow_steering::pull_moving(time_us now, actions* out) {
-  if (synced_ || now < next_pull_)
+  // Without a configuration there is nothing to hold the answer against.
+  const bool ready = !table_->index->services.empty() &&
+                     table_->index == table_->announced;
+  if (synced_ || now < next_pull_ || !ready)
     return;
   next_pull_ = now + pull_interval;
   const member_record* peer =
--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -24,10 +24,13 @@
   flows_.routes(now, table_);
   doubtful_ = false;
   last_seen_ = now;
-  for (const target_id target : table_->index->draining)
+  // Requests heed a drain as soon as it is known; only opaque flows need all
+  // balancers to agree first.
+  const auto& draining = table_->announced->draining;
+  for (const target_id target : draining)
     drained_at_.emplace(target, now);
   for (auto it = drained_at_.begin(); it != drained_at_.end();) {
-    const bool still = table_->index->draining.count(it->first) > 0;
+    const bool still = draining.count(it->first) > 0;
     it = still ? std::next(it) : drained_at_.erase(it);
   }
   release_moved_targets(now, &out);
@@ -87,6 +90,10 @@
   count(result_code::bad_packet);
 }
 
+void traffic_core::on(time_us, const request_pending&, actions*) {
+  count(result_code::bad_packet);
+}
+
 void traffic_core::on(time_us now, permit_request m, actions* out) {
   const auto found = table_->index->services.find(m.service);
   if (found == table_->index->services.end()) {
@@ -130,15 +137,22 @@
   const target_place* place = index.find(m.service, m.previous);
   if (place != nullptr && may_work_on(*place->target))
     return place->target;
-  return choose_target(index, service, m.flow);
+  return choose_target(service, m.flow, [this](const target_config& target) {
+    return may_work_on(target);
+  });
+}
+
+bool traffic_core::withdrawn(const target_config& target) const {
+  if (plants_.ignore_zone_out)
+    return false;
+  return !table_->index->reachable(target) ||
+         !table_->announced->reachable(target);
 }
 
 bool traffic_core::may_work_on(const target_config& target) const {
-  const service_index& index = *table_->index;
-  const bool zone_fine = plants_.ignore_zone_out || index.reachable(target);
-  const bool drain_fine =
-      plants_.ignore_drain || index.draining.count(target.id) == 0;
-  return zone_fine && drain_fine;
+  const bool draining = table_->index->draining.count(target.id) > 0 ||
+                        table_->announced->draining.count(target.id) > 0;
+  return !withdrawn(target) && (!draining || plants_.ignore_drain);
 }
 
 void traffic_core::answer_at_once(const permit_request& m,
--- a/packages/coordination/src/traffic_core_move.cpp
+++ b/packages/coordination/src/traffic_core_move.cpp
@@ -21,10 +21,10 @@
     target_gate& gate = it->second;
     const auto place = table_->index->targets.find(it->first);
     const bool gone = place == table_->index->targets.end() ||
-                      !table_->index->reachable(*place->second.target);
+                      withdrawn(*place->second.target);
     const bool moved =
         !gone && table_->home_of(*place->second.target) != self_.id;
-    if (gone && !plants_.ignore_zone_out)
+    if (gone)
       refuse_waiting(now, &gate, result_code::refused_target_gone, out);
     if (moved) {
       refuse_waiting(now, &gate, result_code::refused_moved, out);
--- a/packages/coordination/src/traffic_core_run.cpp
+++ b/packages/coordination/src/traffic_core_run.cpp
@@ -90,8 +90,10 @@
       run(now, m, &a, out);
       return;
     case stage::waiting:
+      send_pending(a, out);
       return;
     case stage::running:
+      send_pending(a, out);
       if (plants_.refuse_running)
         finish(now, &a, result_code::refused_busy, us_per_ms, "", out);
       return;
@@ -106,6 +108,12 @@
   }
 }
 
+void traffic_core::send_pending(const attempt& a, actions* out) {
+  const request_pending pending{a.service, a.request, a.right.serial,
+                                a.right.nonce};
+  out->emplace_back(send_packet{a.reply_to, packet(pending), false});
+}
+
 result_code traffic_core::reason_to_refuse(time_us now,
                                            const run_request& m,
                                            const attempt& a) const {
@@ -118,7 +126,7 @@
   const target_place* place = table_->index->find(a.service, a.right.target);
   if (place == nullptr)
     return result_code::refused_target_gone;
-  if (!table_->index->reachable(*place->target) && !plants_.ignore_zone_out)
+  if (withdrawn(*place->target))
     return result_code::refused_target_gone;
   const auto drained = drained_at_.find(a.right.target);
   const bool drained_long = drained != drained_at_.end() &&
--- a/packages/state/include/turmeric/state/message_type.h
+++ b/packages/state/include/turmeric/state/message_type.h
@@ -88,6 +88,14 @@
   std::vector<permit> next;  ///< At most one, for the flow's next request.
 };
 
+/** Tells a caller that asked again that its request waits or runs. */
+struct request_pending {
+  service_id service;
+  request_id request;
+  uint64_t serial = 0;
+  uint64_t nonce = 0;
+};
+
 /** Asks the permit's issuer to give up a request. */
 struct cancel_request {
   service_id service;
@@ -173,7 +181,8 @@
                             flow_records,
                             bucket_notes,
                             moving_pull,
-                            moving_list>;
+                            moving_list,
+                            request_pending>;
 
 }  // namespace turmeric
 
--- a/packages/state/include/turmeric/state/route_base.h
+++ b/packages/state/include/turmeric/state/route_base.h
@@ -2,6 +2,7 @@
 #ifndef TURMERIC_STATE_ROUTE_BASE_H_
 #define TURMERIC_STATE_ROUTE_BASE_H_
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
@@ -106,10 +107,11 @@
 
 /** Chooses a target for a new flow by rendezvous hashing, so that a change of
  * the set moves only the flows of the targets that changed.
- * @return Null if no target takes new flows. */
-const target_config* choose_target(const service_index& index,
-                                   const service_config& service,
-                                   flow_id flow);
+ * @return Null if no target is eligible. */
+const target_config* choose_target(
+    const service_config& service,
+    flow_id flow,
+    const std::function<bool(const target_config&)>& eligible);
 
 }  // namespace turmeric
 
--- a/packages/state/src/route.cpp
+++ b/packages/state/src/route.cpp
@@ -226,13 +226,14 @@
   return out;
 }
 
-const target_config* choose_target(const service_index& index,
-                                   const service_config& service,
-                                   flow_id flow) {
+const target_config* choose_target(
+    const service_config& service,
+    flow_id flow,
+    const std::function<bool(const target_config&)>& eligible) {
   const target_config* best = nullptr;
   uint64_t best_score = 0;
   for (const auto& target : service.targets) {
-    if (!index.takes_new_flows(target))
+    if (!eligible(target))
       continue;
     const uint64_t score = hash_pair(flow.value, target.id.value);
     if (best == nullptr || score > best_score) {
--- a/tests/harness/sim_caller.cpp
+++ b/tests/harness/sim_caller.cpp
@@ -113,8 +113,8 @@
   if (number >= callers_.size())
     return;
   caller& c = *callers_[number];
-  const bool current = to.port == 1 + c.path;
-  if (!current || c.silenced)
+  const uint64_t path = to.port - 1u;
+  if (path < c.silenced_below)
     return;
   execute(c, c.core->receive(clock_.now(), body));
 }
@@ -127,7 +127,6 @@
       caller_done(c, *result);
     } else {
       ++c.path;
-      c.silenced = false;
     }
   }
 }
--- a/tests/harness/sim_operator.cpp
+++ b/tests/harness/sim_operator.cpp
@@ -216,9 +216,11 @@
       commit("rival", {{key, "2", 0}});
       break;
     }
-    case fault_kind::silent_path:
-      callers_[static_cast<size_t>(f.subject % caller_count)]->silenced = true;
+    case fault_kind::silent_path: {
+      caller& c = *callers_[static_cast<size_t>(f.subject % caller_count)];
+      c.silenced_below = c.path + 1;
       break;
+    }
     case fault_kind::end:
       break;
   }
--- a/tests/harness/sim_world.h
+++ b/tests/harness/sim_world.h
@@ -83,7 +83,7 @@
     std::unique_ptr<caller_core> core;
     std::map<uint64_t, caller_request> sent;
     std::vector<opaque_flow> flows;
-    bool silenced = false;  ///< The current path carries no answers.
+    uint64_t silenced_below = 0;  ///< Older paths carry no answers.
   };
 
   // sim_world.cpp: network and timing.
--- a/tests/standins/load_main.cpp
+++ b/tests/standins/load_main.cpp
@@ -9,6 +9,7 @@
 
 #include <asio.hpp>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -29,6 +30,7 @@
 constexpr time_us short_deadline = 8 * us_per_s;
 constexpr int part_count = 8;      ///< Parts of one download.
 constexpr int part_bytes = 20000;  ///< Bytes of one part.
+constexpr size_t kept_paths = 4;   ///< Replaced paths that still receive.
 constexpr int submit_every = 3;    ///< One request in three is an entry.
 constexpr int download_every = 20;
 
@@ -133,10 +135,10 @@
   }
 
   void replace_path() {
-    // The old socket may be running its handler; it goes after that.
-    std::shared_ptr<udp_socket> old = std::move(socket_);
-    old->close();
-    asio::post(loop_, [old] {});
+    // Answers may still come on the old path, so it stays open for a while.
+    old_paths_.push_back(std::move(socket_));
+    if (old_paths_.size() > kept_paths)
+      old_paths_.pop_front();
     open_path();
   }
 
@@ -169,6 +171,7 @@
   caller_core core_;
   asio::steady_timer timer_;
   std::unique_ptr<udp_socket> socket_;
+  std::deque<std::unique_ptr<udp_socket>> old_paths_;
   history_file* history_;
   load_totals* totals_;
   flow_id flow_;
