--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -23,6 +23,7 @@
 /** Timing and bounds of flow steering. */
 struct flow_options {
   time_us flow_timeout = 60 * us_per_s;  ///< A silent flow is over.
+  time_us lone_start = 3 * us_per_s; ///< Without peers, decides after this.
   time_us note_interval = 10 * us_per_s; ///< Between notes of one bucket.
   time_us flush_interval = 100 * us_per_ms; ///< Between copies of records.
   size_t max_records = 1 << 20;  ///< Flows remembered at once.
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -99,8 +99,17 @@
   query.service = m.service;
   query.inner = std::move(m);
   query.asker = self_.peer;
-  const member_record* owner =
-      owner_contact(*table_, owner_key(query.service, bucket));
+  const uint64_t owned = owner_key(query.service, bucket);
+  const member_record* owner = owner_contact(*table_, owned);
+  if (!synced_ && (owner == nullptr || owner->id == self_.id)) {
+    // This balancer cannot tell yet whether it owns the bucket.
+    const next_owner peer = runner_up(owned);
+    if (peer.member == nullptr)
+      metrics->count(result_code::no_route);
+    else
+      pass_on(std::move(query), peer.member, metrics, out);
+    return;
+  }
   if (owner == nullptr || owner->id == self_.id)
     on(now, std::move(query), metrics, out);
   else
@@ -143,7 +152,8 @@
   }
   const uint32_t bucket = found->second->bucket_of(m.inner.flow);
   const uint64_t key = owner_key(m.service, bucket);
-  const member_record* owner = table_->owner_in_zone(key, 0);
+  const member_record* owner = m.last ? table_->owner_in_zone(key, 0)
+                                      : owner_contact(*table_, key);
   const bool mine = m.here || owner == nullptr || owner->id == self_.id;
   if (!mine) {
     pass_on(std::move(m), owner, metrics, out);
@@ -160,6 +170,10 @@
     pass_on(std::move(m), before.member, metrics, out);
     return;
   }
+  if (ask && !synced_) {
+    metrics->count(result_code::no_route);
+    return;
+  }
   const target_id target =
       place(now, m.inner, bucket, found->second->targets[bucket]);
   if (!(m.asker == self_.peer)) {
@@ -252,8 +266,13 @@
 void flow_steering::remember(time_us now,
                              const flow_key& key,
                              target_id target) {
-  if (placements_.size() < options_.max_records)
-    placements_[key] = placement{target, now, now};
+  if (placements_.size() >= options_.max_records)
+    return;
+  // The first placement stands: a later one was made without knowing of it.
+  const auto [it, is_new] =
+      placements_.try_emplace(key, placement{target, now, now});
+  it->second.used = now;
+  it->second.refreshed = now;
 }
 
 void flow_steering::tell_owner(const flow_key& key, target_id target) {
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -181,7 +181,7 @@
   }
   // A balancer that is alone for long has nobody to learn from.
   if (peer == nullptr)
-    synced_ = now - started_ >= options_.flow_timeout;
+    synced_ = now - started_ >= options_.lone_start;
   else
     send(peer->peer, packet(moving_pull{self_.peer}), sizeof(moving_pull), out);
 }
