--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -179,7 +179,8 @@
   if (!(m.asker == self_.peer)) {
     const bool still = moving_in(m.service, bucket) != nullptr || young(now) ||
                        announced_move(m.service, bucket);
-    flow_hint hint{m.service, m.inner.flow, target, still};
+    flow_hint hint{m.service, m.inner.flow, target, still,
+                   table_->index->in_force};
     send(m.asker, packet(hint), sizeof(hint), out);
   }
   send_to_target(now, std::move(m.inner), target, metrics, out);
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -99,7 +99,8 @@
 void flow_steering::on(time_us now, const flow_hint& m) {
   const flow_key key{m.service, m.flow};
   remember(now, key, m.target);
-  if (m.moving)
+  // An owner that has not come as far cannot know of the newest move.
+  if (m.moving || m.in_force < table_->announced->in_force)
     return;
   // The owner knows of no older target in use: the bucket is settled.
   const auto buckets = table_->index->buckets.find(m.service);
@@ -191,6 +192,7 @@
   if (!synced_ && now - started_ < options_.flow_timeout)
     return;
   moving_list list;
+  list.in_force = table_->index->in_force;
   size_t bytes = 0;
   for (const auto& [service, buckets] : moving_) {
     bucket_notes notes;
@@ -212,7 +214,8 @@
     for (size_t i = 0; i < count; ++i)
       learn_moving(now, notes.service, notes.buckets[i], notes.oldest[i]);
   }
-  synced_ = true;
+  // A peer that is behind does not know of the newest moves.
+  synced_ = synced_ || m.in_force >= table_->index->in_force;
 }
 
 void flow_steering::learn_moving(time_us now,
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -80,11 +80,11 @@
                 m.reply_to,
                 m.hops)
 TURMERIC_FIELDS(flow_query, m.service, m.inner, m.asker, m.last, m.here, m.hops)
-TURMERIC_FIELDS(flow_hint, m.service, m.flow, m.target, m.moving)
+TURMERIC_FIELDS(flow_hint, m.service, m.flow, m.target, m.moving, m.in_force)
 TURMERIC_FIELDS(flow_records, m.service, m.flows, m.targets, m.here, m.hops)
 TURMERIC_FIELDS(bucket_notes, m.service, m.buckets, m.oldest, m.hops)
 TURMERIC_FIELDS(moving_pull, m.asker)
-TURMERIC_FIELDS(moving_list, m.services)
+TURMERIC_FIELDS(moving_list, m.in_force, m.services)
 TURMERIC_FIELDS(request_pending, m.service, m.request, m.serial, m.nonce)
 TURMERIC_FIELDS(config_entry, m.key, m.value, m.changed)
 TURMERIC_FIELDS(config_delta, m.format, m.from, m.to, m.entries)
--- a/packages/state/include/turmeric/state/message_type.h
+++ b/packages/state/include/turmeric/state/message_type.h
@@ -139,6 +139,7 @@
   flow_id flow;
   target_id target;
   bool moving = true;  ///< Whether the bucket still has an older target.
+  uint64_t in_force = 0;  ///< Revision that the owner decided on.
 };
 
 /** Tells the owner of placements, or the balancer that would own them next. */
@@ -165,6 +166,7 @@
 
 /** Answers a moving_pull. */
 struct moving_list {
+  uint64_t in_force = 0;  ///< Revision whose moves the list holds.
   std::vector<bucket_notes> services;
 };
 
--- a/tests/harness/sim_operator.cpp
+++ b/tests/harness/sim_operator.cpp
@@ -33,16 +33,16 @@
   }
   const time_us slow = store_.faults.slow_ms * us_per_ms;
   clock_.after(platform_delay + slow, [=, this_ = this] {
+    const auto exists = [&] {
+      platform_call get;
+      get.name = call.name;
+      return this_->store_.execute(get, 0).status == platform_status::ok;
+    };
+    const bool existed = exists();
     platform_reply answer = this_->store_.execute(call, this_->random());
-    const bool created = call.op == platform_op::create &&
-                         this_->store_
-                                 .execute({0, platform_op::get, call.name, 0,
-                                           "", 0},
-                                          0)
-                                 .status == platform_status::ok;
-    const bool taken_effect =
-        created && answer.status != platform_status::exists;
-    if (taken_effect) {
+    const bool created =
+        call.op == platform_op::create && !existed && exists();
+    if (created) {
       auto parsed = change_from_json(call.value);
       history_event e;
       e.kind = event_kind::accepted;
