--- a/packages/coordination/include/turmeric/coordination/caller_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/caller_core_base.h
@@ -87,6 +87,7 @@
     caller_request request;
     stage at = stage::asking;
     std::optional<permit> right;
+    time_us submitted = 0;
     time_us sent = 0;
     time_us rto = 0;
     time_us first_sent = 0;  ///< Oldest unanswered packet.
--- a/packages/coordination/src/caller_core.cpp
+++ b/packages/coordination/src/caller_core.cpp
@@ -34,6 +34,7 @@
   const request_id id = request.id;
   call& c = open_[id];
   c.request = std::move(request);
+  c.submitted = now;
   ask(now, &c, &out);
   return out;
 }
@@ -131,8 +132,12 @@
   if (c.at != stage::asking || !own)
     return;
   flow_targets_[{m.service, m.flow}] = m.granted.target;
-  const bool late = now + options_.least_time / 2 >= c.request.deadline;
-  if (late && c.attempts > 0) {
+  // With most of the time gone, a request that was not sent yet is better ended
+  // as not run than left in doubt.
+  const time_us left = c.request.deadline - now;
+  const bool late =
+      left < options_.least_time / 2 && now - c.submitted > left;
+  if (late) {
     finish(c, c.maybe_ran ? result_code::unknown_outcome : c.last_refusal, "",
            out);
     return;
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -50,9 +50,7 @@
                     next != table_->announced->buckets.end();
   if (!both || now->second == next->second)
     return false;
-  const auto& later = next->second->targets;
-  return later.size() != now->second->targets.size() ||
-         later[bucket] != now->second->targets[bucket];
+  return next->second->targets[bucket] != now->second->targets[bucket];
 }
 
 bool flow_steering::moving(service_id service, flow_id flow) const {
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -50,19 +50,11 @@
                             const bucket_table* before,
                             const bucket_table* after) {
   bucket_map& moving = moving_[service];
-  // A larger table splits each bucket: the lower bits keep their meaning.
-  const size_t old_mask = before->targets.size() - 1;
-  if (before->targets.size() > after->targets.size()) {
-    bucket_map folded;
-    for (const auto& [bucket, state] : moving)
-      folded[bucket & (after->targets.size() - 1)] = state;
-    moving = std::move(folded);
-  }
   for (uint32_t bucket = 0; bucket < after->targets.size(); ++bucket) {
-    const target_id old_target = before->targets[bucket & old_mask];
+    const target_id old_target = before->targets[bucket];
     if (!old_target.valid() || old_target == after->targets[bucket])
       continue;
-    const auto earlier = moving.find(bucket & static_cast<uint32_t>(old_mask));
+    const auto earlier = moving.find(bucket);
     const target_id oldest =
         earlier == moving.end() ? old_target : earlier->second.oldest;
     moving_bucket& state = moving[bucket];
--- a/packages/coordination/src/traffic_core_internal.h
+++ b/packages/coordination/src/traffic_core_internal.h
@@ -32,9 +32,13 @@
   if (issuer == nullptr && right.zone != self_.zone)
     issuer = table_->contact_in(right.zone, right.home.value);
   const bool exact = issuer != nullptr && issuer->id == right.home;
-  const bool ended = right.home == self_.id ||
-                     (exact && (issuer->state == member_state::dead ||
-                                issuer->incarnation > right.incarnation));
+  // A record of an earlier incarnation says nothing about this one.
+  const bool died = exact && issuer->incarnation == right.incarnation &&
+                    issuer->state == member_state::dead;
+  const bool replaced = exact && issuer->incarnation > right.incarnation;
+  const bool own_past =
+      right.home == self_.id && right.incarnation < self_.incarnation;
+  const bool ended = died || replaced || own_past;
   if (!ended) {
     forward(std::move(*m), issuer, out);
     return true;
--- a/packages/state/src/route.cpp
+++ b/packages/state/src/route.cpp
@@ -8,8 +8,9 @@
 namespace turmeric {
 namespace {
 
-constexpr size_t min_buckets = 64;
-constexpr size_t buckets_per_target = 32;
+/** Buckets of every service; the same for all, so that a bucket keeps its
+ * number when targets come and go. */
+constexpr size_t bucket_count = 512;
 
 }  // namespace
 
@@ -96,15 +97,12 @@
 bucket_table make_buckets(const service_config& service,
                           const std::vector<const target_config*>& eligible) {
   bucket_table table;
-  size_t count = min_buckets;
-  while (count < service.targets.size() * buckets_per_target)
-    count *= 2;
-  table.targets.resize(count);
+  table.targets.resize(bucket_count);
   if (eligible.empty())
     return table;
-  const size_t cap = (count + eligible.size() - 1) / eligible.size();
+  const size_t cap = (bucket_count + eligible.size() - 1) / eligible.size();
   std::vector<size_t> used(eligible.size(), 0);
-  for (size_t bucket = 0; bucket < count; ++bucket) {
+  for (size_t bucket = 0; bucket < bucket_count; ++bucket) {
     const uint64_t seed = hash_pair(service.id.value, bucket);
     size_t best = eligible.size();
     uint64_t best_score = 0;
--- a/tests/harness/prove_main.cpp
+++ b/tests/harness/prove_main.cpp
@@ -75,6 +75,8 @@
                      bool plant) {
   fmt::print("{} VIOLATED seed={} runs={}\n", row.name, first.seed,
              first.planned ? "planned" : "all");
+  fmt::print("  {:>6} ms  in the whole run: {}\n", first.what.at / us_per_ms,
+             first.what.text);
   const sim_options shortest =
       shorten(row, options_for(row, first.seed, first.planned, plant));
   const auto what = row.check(simulate(shortest), shortest);
