--- a/apps/turmericd/main.cpp
+++ b/apps/turmericd/main.cpp
@@ -76,15 +76,11 @@
 
 /** Hands the targets over, finishes what runs, and keeps answering repeated
  * questions for a while. */
-void drain(const settings& s,
-           control_runner* control,
-           traffic_runner* traffic) {
+void drain(control_runner* control, traffic_runner* traffic) {
   log(log_category::admin, log_level::info, "stopping");
   control->leave();
   traffic->stop_taking_work();
-  const time_us linger = s.ms(setting::traffic_linger);
-  const time_us started = steady_now();
-  while (!traffic->idle() || steady_now() - started < linger)
+  while (!traffic->may_end())
     std::this_thread::sleep_for(poll_interval);
 }
 
@@ -116,7 +112,7 @@
   log(log_category::admin, log_level::info, "started");
   while (stop_requested == 0 && !control.told_to_leave())
     std::this_thread::sleep_for(poll_interval);
-  drain(s, &control, &traffic);
+  drain(&control, &traffic);
   admin.stop();
   control.stop();
   traffic.stop();
--- a/packages/coordination/include/turmeric/coordination/membership_base.h
+++ b/packages/coordination/include/turmeric/coordination/membership_base.h
@@ -25,6 +25,7 @@
   size_t contacts_per_zone = 4;        ///< Known members of another zone.
   size_t updates_per_message = 8;
   size_t indirect_probes = 3;
+  size_t suspects_per_interval = 3;  ///< Probed again until they refute.
   std::vector<endpoint> seeds;
 };
 
@@ -108,6 +109,7 @@
   void probe_next(time_us now, std::vector<gossip_out>* out);
   void check_probes(time_us now, std::vector<gossip_out>* out);
   void check_suspects(time_us now);
+  void probe_suspects(time_us now, std::vector<gossip_out>* out);
   void contact_lost(std::vector<gossip_out>* out);
   member_id next_probe_target();
   unsigned transmissions() const;
--- a/packages/coordination/include/turmeric/coordination/traffic_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_core_base.h
@@ -26,8 +26,8 @@
 
 /** Timing and bounds of the traffic core. */
 struct traffic_options {
-  time_us permit_lifetime = 10 * us_per_s;
-  time_us remember = 30 * us_per_s;  ///< Final results are kept this long.
+  time_us permit_lifetime = 5 * us_per_s;
+  time_us remember = 15 * us_per_s;  ///< Final results are kept this long.
   time_us take_over_wait = 2 * us_per_s;
   time_us pause_limit = us_per_s;    ///< A longer gap was a pause.
   time_us drain_grace = 500 * us_per_ms;///< For permits issued before a drain.
@@ -81,10 +81,12 @@
   std::vector<traffic_action> tick(time_us now);
 
   /** Stops issuing permits; what runs finishes. */
-  void stop() { stopping_ = true; }
+  void stop(time_us now);
 
-  /** @return Whether nothing runs or waits here. */
-  bool idle() const { return unfinished_ == 0; }
+  /** @return Whether a stopping balancer may end: nothing runs, and every
+   * permit that it has issued is too old to be used. Until then it answers
+   * for its permits, since nobody else can say that a request did not run. */
+  bool may_end(time_us now) const;
 
   /** Counts a datagram that the decoder refused. */
   void count_drop(result_code why) { metrics_.count(why); }
@@ -190,6 +192,7 @@
   size_t kept_bytes_ = 0;
   time_us last_seen_ = -1;
   time_us started_ = -1;
+  time_us stop_began_ = 0;
   std::string last_body_;  ///< For the plant of mixed answers only.
   bool stopping_ = false;
   bool doubtful_ = false;  ///< Paused; waits for a newer snapshot.
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -373,6 +373,21 @@
   }
 }
 
+void membership::probe_suspects(time_us now, std::vector<gossip_out>* out) {
+  size_t sent = 0;
+  for (auto& [id, p] : peers_) {
+    const bool suspect = p.record.state == member_state::suspect;
+    if (!suspect || sent >= options_.suspects_per_interval)
+      continue;
+    ++sent;
+    const uint64_t sequence = ++sequence_;
+    probes_[sequence] = probe{id, now, true, {}, 0};
+    gossip_message ping = make(gossip_kind::ping, sequence);
+    ping.updates.push_back(p.record);
+    out->push_back({p.record.gossip, std::move(ping)});
+  }
+}
+
 void membership::contact_lost(std::vector<gossip_out>* out) {
   if (options_.seeds.empty() || ticks_ % dead_probe_every != 1)
     return;
@@ -393,6 +408,7 @@
     return out;
   next_probe_at_ = now + options_.interval;
   probe_next(now, &out);
+  probe_suspects(now, &out);
   contact_lost(&out);
   return out;
 }
--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -1,5 +1,6 @@
 /** @file traffic_core.cpp Entry points, forwarding and timers. */
 #include <algorithm>
+#include <utility>
 
 #include "traffic_core_internal.h"
 
@@ -214,6 +215,16 @@
   flows_.on(now, m);
 }
 
+void traffic_core::stop(time_us now) {
+  if (!std::exchange(stopping_, true))
+    stop_began_ = now;
+}
+
+bool traffic_core::may_end(time_us now) const {
+  const bool expired = now - stop_began_ >= options_.permit_lifetime;
+  return stopping_ && expired && unfinished_ == 0;
+}
+
 std::vector<traffic_action> traffic_core::tick(time_us now) {
   actions out;
   if (last_seen_ >= 0 && now - last_seen_ > options_.pause_limit)
--- a/packages/state/include/turmeric/state/table/settings.h
+++ b/packages/state/include/turmeric/state/table/settings.h
@@ -37,12 +37,10 @@
                  "Time a suspect has to refute before it is held dead.")
 TURMERIC_SETTING(traffic, workers, number, "threads", "16", 1, 256,
                  "Threads that run requests on targets.")
-TURMERIC_SETTING(traffic, permit_lifetime, number, "ms", "10000", 100, 600000,
-                 "Time within which a permit must be used.")
+TURMERIC_SETTING(traffic, permit_lifetime, number, "ms", "5000", 100, 600000,
+                 "Time within which a permit must be used; a stop takes it.")
 TURMERIC_SETTING(traffic, max_body, number, "bytes", "32768", 1024, 60000,
                  "Largest request body taken.")
-TURMERIC_SETTING(traffic, linger, number, "ms", "2000", 0, 600000,
-                 "Time a stopping balancer still repeats final results.")
 TURMERIC_SETTING(traffic, take_over_wait, number, "ms", "2000", 0, 60000,
                  "Time for which a new home counts all slots as taken.")
 TURMERIC_SETTING(log, level, text, "", "info", 1, 16,
--- a/packages/transport/include/turmeric/transport/traffic_runner_base.h
+++ b/packages/transport/include/turmeric/transport/traffic_runner_base.h
@@ -33,8 +33,8 @@
   /** Stops taking new work; what runs finishes. */
   void stop_taking_work();
 
-  /** @return Whether nothing runs or waits. */
-  bool idle() const { return idle_; }
+  /** @return Whether a stopping balancer may end. */
+  bool may_end() const { return may_end_; }
 
   /** @return A copy of the metrics, made by the traffic thread. */
   traffic_metrics metrics();
@@ -65,7 +65,7 @@
   traffic_core core_;
   std::shared_ptr<const route_table> next_table_;  ///< Atomic access only.
   std::shared_ptr<const route_table> table_;
-  std::atomic<bool> idle_{true};
+  std::atomic<bool> may_end_{false};
   log_limiter drops_;
   std::thread thread_;
 };
--- a/packages/transport/src/traffic_runner.cpp
+++ b/packages/transport/src/traffic_runner.cpp
@@ -121,7 +121,7 @@
 void traffic_runner::execute(std::vector<traffic_action> actions) {
   for (auto& action : actions)
     std::visit([this](auto& a) { execute_one(a); }, action);
-  idle_ = core_.idle();
+  may_end_ = core_.may_end(steady_now());
 }
 
 void traffic_runner::execute_one(send_packet& action) {
@@ -145,7 +145,7 @@
 }
 
 void traffic_runner::stop_taking_work() {
-  asio::post(loop_, [this] { core_.stop(); });
+  asio::post(loop_, [this] { core_.stop(steady_now()); });
 }
 
 traffic_metrics traffic_runner::metrics() {
--- a/tests/harness/prove_main.cpp
+++ b/tests/harness/prove_main.cpp
@@ -44,6 +44,7 @@
 struct promise_result {
   uint64_t runs = 0;
   uint64_t faults = 0;
+  uint64_t violations = 0;
   std::optional<first_violation> first;
 };
 
@@ -71,10 +72,12 @@
 }
 
 void print_violation(const promise_row& row,
-                     const first_violation& first,
+                     const promise_result& result,
                      bool plant) {
-  fmt::print("{} VIOLATED seed={} runs={}\n", row.name, first.seed,
-             first.planned ? "planned" : "all");
+  const first_violation& first = *result.first;
+  fmt::print("{} VIOLATED seed={} kind={} violations={} runs={}\n", row.name,
+             first.seed, first.planned ? "planned" : "all", result.violations,
+             result.runs);
   fmt::print("  {:>6} ms  in the whole run: {}\n", first.what.at / us_per_ms,
              first.what.text);
   const sim_options shortest =
@@ -109,6 +112,7 @@
           const std::lock_guard<std::mutex> lock(mutex);
           ++results[r].runs;
           results[r].faults += o.faults.size();
+          results[r].violations += what ? 1 : 0;
           auto& first = results[r].first;
           const bool earlier =
               what && (!first || seed < first->seed ||
@@ -174,7 +178,7 @@
       continue;
     }
     ++violated;
-    print_violation(rows[i], *r.first, options.plant);
+    print_violation(rows[i], r, options.plant);
   }
   return violated == 0 ? 0 : 1;
 }
--- a/tests/harness/sim_balancer.cpp
+++ b/tests/harness/sim_balancer.cpp
@@ -9,7 +9,6 @@
 constexpr time_us control_tick = 20 * us_per_ms;
 constexpr time_us traffic_tick = 10 * us_per_ms;
 constexpr time_us connect_timeout = 300 * us_per_ms;
-constexpr time_us linger = 1500 * us_per_ms;
 constexpr time_us stop_poll = 20 * us_per_ms;
 constexpr uint16_t peer_port = 2;
 constexpr uint16_t gossip_port = 3;
@@ -269,9 +268,8 @@
   if (!b.alive || b.frozen || b.stopping)
     return;
   b.stopping = true;
-  b.stop_began = clock_.now();
   execute(b, b.control->leave(clock_.now()));
-  b.traffic->stop();
+  b.traffic->stop(clock_.now());
   if (options_.plants.drop_on_stop) {
     crash(number, down_for);
     return;
@@ -283,8 +281,7 @@
   balancer& b = *balancers_[static_cast<size_t>(number)];
   if (!b.alive || b.generation != generation)
     return;
-  const bool lingered = clock_.now() - b.stop_began >= linger;
-  if (!lingered || !b.traffic->idle() || b.frozen) {
+  if (!b.traffic->may_end(clock_.now()) || b.frozen) {
     clock_.after(stop_poll, [=, this_ = this] {
       this_->finish_stop(number, generation, down_for);
     });
--- a/tests/harness/sim_world.h
+++ b/tests/harness/sim_world.h
@@ -42,7 +42,6 @@
     bool alive = false;
     bool frozen = false;
     bool stopping = false;
-    time_us stop_began = 0;
     uint64_t generation = 0;
     std::unique_ptr<control_core> control;
     std::unique_ptr<traffic_core> traffic;
