--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -90,6 +90,7 @@
   };
   struct placement {
     target_id target;
+    bool opened = false;  ///< Placed at its opening; else the default.
     time_us used = 0;
     time_us refreshed = 0;  ///< When its owner was last told.
   };
@@ -117,8 +118,9 @@
                   target_id current);
   target_id place_new(time_us now, const datagram& m, target_id current);
   bool cold_open_allowed(time_us now, target_id target);
-  void tell_owner(const flow_key& key, target_id target);
-  void remember(time_us now, const flow_key& key, target_id target);
+  void tell_owner(const flow_key& key, const placement& placed);
+  void remember(time_us now, const flow_key& key, target_id target,
+                bool opened);
   void send_to_target(time_us now, datagram m, target_id target,
                       traffic_metrics* metrics, actions* out);
   next_owner runner_up(uint64_t key) const;
--- a/packages/coordination/include/turmeric/coordination/membership_base.h
+++ b/packages/coordination/include/turmeric/coordination/membership_base.h
@@ -25,6 +25,8 @@
   size_t contacts_per_zone = 4;        ///< Known members of another zone.
   size_t updates_per_message = 8;
   size_t indirect_probes = 3;
+  uint64_t join_intervals = 15;  ///< Intervals that count as joining.
+  size_t join_fanout = 3;        ///< Seeds asked an interval while joining.
   size_t suspects_per_interval = 3;  ///< Probed again until they refute.
   std::vector<endpoint> seeds;
 };
@@ -110,7 +112,7 @@
   void check_probes(time_us now, std::vector<gossip_out>* out);
   void check_suspects(time_us now);
   void probe_suspects(time_us now, std::vector<gossip_out>* out);
-  void contact_lost(std::vector<gossip_out>* out);
+  void contact_seeds(std::vector<gossip_out>* out);
   member_id next_probe_target();
   unsigned transmissions() const;
 
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -87,7 +87,7 @@
     const target_id target = known->second.target;
     if (now - known->second.refreshed > 2 * options_.flow_timeout) {
       known->second.refreshed = now;
-      tell_owner(key, target);
+      tell_owner(key, known->second);
     }
     note_use(now, m.service, bucket, target);
     send_to_target(now, std::move(m), target, metrics, out);
@@ -177,8 +177,11 @@
   if (!(m.asker == self_.peer)) {
     const bool still = moving_in(m.service, bucket) != nullptr || young(now) ||
                        announced_move(m.service, bucket);
-    flow_hint hint{m.service, m.inner.flow, target, still,
-                   table_->index->in_force};
+    const auto placed = placements_.find({m.service, m.inner.flow});
+    const bool opened =
+        placed != placements_.end() && placed->second.opened;
+    const flow_hint hint{m.service, m.inner.flow, target, opened, still,
+                         table_->index->in_force};
     send(m.asker, packet(hint), sizeof(hint), out);
   }
   send_to_target(now, std::move(m.inner), target, metrics, out);
@@ -199,12 +202,12 @@
   target_id target = current;
   if (m.opens) {
     target = place_new(now, m, current);
-    tell_owner(key, target);
+    tell_owner(key, placement{target, true, now, now});
   } else if (moving != nullptr) {
     target = moving->oldest;
     note_use(now, m.service, bucket, target);
   }
-  remember(now, key, target);
+  remember(now, key, target, m.opens);
   return target;
 }
 
@@ -264,21 +267,28 @@
 
 void flow_steering::remember(time_us now,
                              const flow_key& key,
-                             target_id target) {
+                             target_id target,
+                             bool opened) {
   if (placements_.size() >= options_.max_records)
     return;
-  // The first placement stands: a later one was made without knowing of it.
   const auto [it, is_new] =
-      placements_.try_emplace(key, placement{target, now, now});
+      placements_.try_emplace(key, placement{target, opened, now, now});
+  // An opening goes before a default, which was decided without knowing of it;
+  // among openings the first one stands.
+  if (!is_new && opened && !it->second.opened) {
+    it->second.target = target;
+    it->second.opened = true;
+  }
   it->second.used = now;
   it->second.refreshed = now;
 }
 
-void flow_steering::tell_owner(const flow_key& key, target_id target) {
+void flow_steering::tell_owner(const flow_key& key, const placement& placed) {
   flow_records& batch = uncopied_[key.service];
   batch.service = key.service;
   batch.flows.push_back(key.flow);
-  batch.targets.push_back(target);
+  batch.targets.push_back(placed.target);
+  batch.opened.push_back(placed.opened);
 }
 
 void flow_steering::send_to_target(time_us now,
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -90,7 +90,7 @@
 
 void flow_steering::on(time_us now, const flow_hint& m) {
   const flow_key key{m.service, m.flow};
-  remember(now, key, m.target);
+  remember(now, key, m.target, m.opened);
   // An owner that has not come as far cannot know of the newest move.
   if (m.moving || m.in_force < table_->announced->in_force)
     return;
@@ -103,7 +103,8 @@
 
 void flow_steering::on(time_us now, flow_records m, actions* out) {
   const auto buckets = table_->index->buckets.find(m.service);
-  const size_t count = std::min(m.flows.size(), m.targets.size());
+  const size_t count =
+      std::min({m.flows.size(), m.targets.size(), m.opened.size()});
   if (buckets == table_->index->buckets.end())
     return;
   std::map<endpoint, flow_records> elsewhere;
@@ -113,13 +114,14 @@
         table_->owner_in_zone(hash_pair(m.service.value, bucket), 0);
     const bool mine = m.here || owner == nullptr || owner->id == self_.id;
     if (mine || m.hops >= options_.max_hops) {
-      remember(now, {m.service, m.flows[i]}, m.targets[i]);
+      remember(now, {m.service, m.flows[i]}, m.targets[i], m.opened[i]);
       continue;
     }
     flow_records& batch = elsewhere[owner->peer];
     batch.service = m.service;
     batch.flows.push_back(m.flows[i]);
     batch.targets.push_back(m.targets[i]);
+    batch.opened.push_back(m.opened[i]);
     batch.hops = static_cast<uint8_t>(m.hops + 1);
   }
   for (auto& [to, batch] : elsewhere) {
@@ -132,7 +134,7 @@
   if (std::exchange(handed_over_, true))
     return;
   for (const auto& [key, placed] : placements_)
-    tell_owner(key, placed.target);
+    tell_owner(key, placed);
 }
 
 void flow_steering::tell_new_owners(const route_table& before) {
@@ -153,7 +155,7 @@
       it->second = !same;
     }
     if (it->second)
-      tell_owner(key, placed.target);
+      tell_owner(key, placed);
   }
 }
 
@@ -286,6 +288,7 @@
       copy.here = to.here;
       copy.flows.push_back(batch.flows[i]);
       copy.targets.push_back(batch.targets[i]);
+      copy.opened.push_back(batch.opened[i]);
       if (copy.flows.size() < records_per_copy)
         continue;
       send(to.member->peer, packet(std::move(copy)),
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -388,16 +388,27 @@
   }
 }
 
-void membership::contact_lost(std::vector<gossip_out>* out) {
-  if (options_.seeds.empty() || ticks_ % dead_probe_every != 1)
+void membership::contact_seeds(std::vector<gossip_out>* out) {
+  const bool joining = ticks_ <= options_.join_intervals;
+  if (!joining && ticks_ % dead_probe_every != 1)
     return;
-  const endpoint seed = options_.seeds[random_() % options_.seeds.size()];
-  const bool known = std::any_of(
-      peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return entry.second.record.gossip == seed && is_usable(entry.second.record);
-      });
-  if (!known && !(seed == self_.gossip))
-    out->push_back({seed, make(gossip_kind::sync_request, ++sequence_)});
+  std::vector<endpoint> unknown;
+  for (const endpoint seed : options_.seeds) {
+    const bool known = std::any_of(
+        peers_.begin(), peers_.end(), [&](const auto& entry) {
+          return entry.second.record.gossip == seed &&
+                 is_usable(entry.second.record);
+        });
+    if (!known && !(seed == self_.gossip))
+      unknown.push_back(seed);
+  }
+  // A balancer that joins asks several at once, so that it is known soon.
+  const size_t count =
+      std::min<size_t>(joining ? options_.join_fanout : 1, unknown.size());
+  for (size_t i = 0; i < count; ++i) {
+    std::swap(unknown[i], unknown[i + random_() % (unknown.size() - i)]);
+    out->push_back({unknown[i], make(gossip_kind::sync_request, ++sequence_)});
+  }
 }
 
 std::vector<gossip_out> membership::tick(time_us now) {
@@ -409,7 +420,7 @@
   next_probe_at_ = now + options_.interval;
   probe_next(now, &out);
   probe_suspects(now, &out);
-  contact_lost(&out);
+  contact_seeds(&out);
   return out;
 }
 
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -80,8 +80,8 @@
                 m.reply_to,
                 m.hops)
 TURMERIC_FIELDS(flow_query, m.service, m.inner, m.asker, m.last, m.here, m.hops)
-TURMERIC_FIELDS(flow_hint, m.service, m.flow, m.target, m.moving, m.in_force)
-TURMERIC_FIELDS(flow_records, m.service, m.flows, m.targets, m.here, m.hops)
+TURMERIC_FIELDS(flow_hint, m.service, m.flow, m.target, m.opened, m.moving, m.in_force)
+TURMERIC_FIELDS(flow_records, m.service, m.flows, m.targets, m.opened, m.here, m.hops)
 TURMERIC_FIELDS(bucket_notes, m.service, m.buckets, m.oldest, m.hops)
 TURMERIC_FIELDS(moving_pull, m.asker)
 TURMERIC_FIELDS(moving_list, m.in_force, m.services)
--- a/packages/state/include/turmeric/state/message_type.h
+++ b/packages/state/include/turmeric/state/message_type.h
@@ -138,6 +138,7 @@
   service_id service;
   flow_id flow;
   target_id target;
+  bool opened = false; ///< Placed at its opening; else the default.
   bool moving = true;  ///< Whether the bucket still has an older target.
   uint64_t in_force = 0;  ///< Revision that the owner decided on.
 };
@@ -147,6 +148,7 @@
   service_id service;
   std::vector<flow_id> flows;
   std::vector<target_id> targets;  ///< As long as `flows`.
+  std::vector<bool> opened;  ///< As long: placed at its opening, no default.
   bool here = false;  ///< For the receiver; not passed on to the owner.
   uint8_t hops = 0;
 };
--- a/tests/harness/sim_balancer.cpp
+++ b/tests/harness/sim_balancer.cpp
@@ -295,6 +295,7 @@
   if (!b.alive)
     return;
   b.alive = false;
+  b.ended_at = clock_.now();
   record_life(number, event_kind::ended);
   clock_.after(down_for, [this, number] {
     if (!balancers_[static_cast<size_t>(number)]->alive)
--- a/tests/harness/sim_world.h
+++ b/tests/harness/sim_world.h
@@ -42,6 +42,7 @@
     bool alive = false;
     bool frozen = false;
     bool stopping = false;
+    time_us ended_at = 0;
     uint64_t generation = 0;
     std::unique_ptr<control_core> control;
     std::unique_ptr<traffic_core> traffic;
@@ -129,6 +130,7 @@
   std::vector<service_config> declared_services() const;
 
   // sim_caller.cpp
+  bool fabric_knows_ended(const balancer& b) const;
   void start_callers();
   void next_request(int number);
   void next_packet(int number);
