--- a/apps/turmericd/main.cpp
+++ b/apps/turmericd/main.cpp
@@ -131,7 +131,8 @@
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   std::string path;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:Sh", options, nullptr)) != -1;) {
+  for (int c = 0;
+       (c = getopt_long(argc, argv, "s:Sh", options, nullptr)) != -1;) {
     switch (c) {
       case 's':
         path = optarg;
--- a/apps/turmericstream/cli_base.h
+++ b/apps/turmericstream/cli_base.h
@@ -30,7 +30,7 @@
 /** A subcommand. */
 struct subcommand {
   std::string name;
-  std::string arguments;    ///< For the usage line.
+  std::string arguments;  ///< For the usage line.
   std::string description;
   std::function<result<void>(const cli_options&)> run;
 };
--- a/apps/turmericstream/declare_cli.cpp
+++ b/apps/turmericstream/declare_cli.cpp
@@ -121,9 +121,9 @@
   if (committed.value() % snapshot_every == 0) {
     auto state = read_state(hooks);
     // The change stands without a snapshot; the next operator writes one.
-    auto written = state ? write_snapshot(hooks, state.value())
-                         : result<void>(boost::outcome_v2::failure(
-                               state.error()));
+    auto written =
+        state ? write_snapshot(hooks, state.value())
+              : result<void>(boost::outcome_v2::failure(state.error()));
     if (!written)
       fmt::print(stderr, "no snapshot: {}\n", to_text(written.error()));
   }
--- a/apps/turmericstream/flag_cli.cpp
+++ b/apps/turmericstream/flag_cli.cpp
@@ -19,9 +19,8 @@
   const bool complete = options.arguments.size() == 2;
   const std::string verb = complete ? options.arguments[0] : "";
   if (verb != words.set && verb != words.clear) {
-    return fail(result_code::usage,
-                fmt::format("expected {} or {} and a name", words.set,
-                            words.clear));
+    return fail(result_code::usage, fmt::format("expected {} or {} and a name",
+                                                words.set, words.clear));
   }
   auto state = read_state(platform_hooks(options));
   if (!state)
--- a/apps/turmericstream/fleet_cli.cpp
+++ b/apps/turmericstream/fleet_cli.cpp
@@ -21,16 +21,15 @@
   const int64_t age = v["ms_since_platform"].asInt64();
   std::string members;
   for (const auto& m : v["members"]) {
-    members += fmt::format(" {}({})", m["name"].asString(),
-                           m["state"].asString());
+    members +=
+        fmt::format(" {}({})", m["name"].asString(), m["state"].asString());
   }
-  fmt::print("{}: in force {}, known {}, platform {}{}, members{}\n",
-             v["name"].asString(), v["in_force"].asUInt64(),
-             v["known"].asUInt64(),
-             age < 0 ? "never reached" : fmt::format("reached {} ms ago", age),
-             v["blocked_by_format"].asBool() ? ", BLOCKED by a newer format"
-                                             : "",
-             members);
+  fmt::print(
+      "{}: in force {}, known {}, platform {}{}, members{}\n",
+      v["name"].asString(), v["in_force"].asUInt64(), v["known"].asUInt64(),
+      age < 0 ? "never reached" : fmt::format("reached {} ms ago", age),
+      v["blocked_by_format"].asBool() ? ", BLOCKED by a newer format" : "",
+      members);
 }
 
 /** Calls @p method on all balancers and prints one JSON object each. */
@@ -44,8 +43,8 @@
   for (const auto& balancer : options.balancers) {
     auto answer = call_admin(balancer, context.value(), method, arguments);
     if (!answer) {
-      silent += fmt::format(" {} ({})", to_text(balancer),
-                            answer.error().message);
+      silent +=
+          fmt::format(" {} ({})", to_text(balancer), answer.error().message);
       continue;
     }
     if (method == "status" && !options.json) {
--- a/packages/coordination/include/turmeric/coordination/caller_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/caller_core_base.h
@@ -23,9 +23,9 @@
   time_us first_rto = 100 * us_per_ms;  ///< First retransmission.
   time_us max_rto = 250 * us_per_ms;
   time_us silent_path = 1500 * us_per_ms;  ///< Opens a new path after this.
-  time_us least_time = 300 * us_per_ms;  ///< No retry with less time left.
-  double retry_ratio = 0.2;   ///< Retries earned by each request.
-  double retry_burst = 20.0;  ///< Retries at hand at the most.
+  time_us least_time = 300 * us_per_ms;    ///< No retry with less time left.
+  double retry_ratio = 0.2;                ///< Retries earned by each request.
+  double retry_burst = 20.0;               ///< Retries at hand at the most.
 };
 
 /** A request as the application sees it. */
@@ -44,8 +44,8 @@
   request_id id;
   result_code code = result_code::ok;
   std::string body;
-  uint32_t attempts = 0;       ///< Permits used.
-  uint32_t retry_after_ms = 0; ///< When to come back after a refusal.
+  uint32_t attempts = 0;        ///< Permits used.
+  uint32_t retry_after_ms = 0;  ///< When to come back after a refusal.
 };
 
 /** Sends a packet to the fabric. */
@@ -118,10 +118,16 @@
   void on_answer(time_us now, const answer_part& m, actions* out);
   void on_pending(time_us now, const request_pending& m);
   void keep_spare(time_us now, const call& c, const answer_part& m);
-  void ended(time_us now, call* c, const answer_part& m, std::string body,
+  void ended(time_us now,
+             call* c,
+             const answer_part& m,
+             std::string body,
              actions* out);
-  void retry_or_finish(time_us now, call* c, result_code code,
-                       time_us retry_after, actions* out);
+  void retry_or_finish(time_us now,
+                       call* c,
+                       result_code code,
+                       time_us retry_after,
+                       actions* out);
   void finish(const call& c, result_code code, std::string body, actions* out);
   bool spend_retry();
 
--- a/packages/coordination/include/turmeric/coordination/control_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/control_core_base.h
@@ -24,14 +24,14 @@
   membership_options members;
   time_us call_timeout = us_per_s;
   time_us watch_timeout = 10 * us_per_s;
-  time_us peers_first = 500 * us_per_ms;   ///< Wait for peers at the start.
-  time_us announce = us_per_s;     ///< Longest wait for agreement.
-  time_us retry_min = 200 * us_per_ms;     ///< First retry of the platform.
-  time_us retry_max = 5 * us_per_s;        ///< Longest back-off.
-  time_us pull_interval = 300 * us_per_ms; ///< Between two pulls.
+  time_us peers_first = 500 * us_per_ms;    ///< Wait for peers at the start.
+  time_us announce = us_per_s;              ///< Longest wait for agreement.
+  time_us retry_min = 200 * us_per_ms;      ///< First retry of the platform.
+  time_us retry_max = 5 * us_per_s;         ///< Longest back-off.
+  time_us pull_interval = 300 * us_per_ms;  ///< Between two pulls.
   size_t watchers_per_zone = 2;
   size_t push_fanout = 3;
-  size_t fragment_bytes = 16 * 1024;       ///< Values in one config_push.
+  size_t fragment_bytes = 16 * 1024;  ///< Values in one config_push.
 };
 
 /** Replaces the routing snapshot of the traffic threads. */
@@ -100,20 +100,28 @@
   void follow_platform(time_us now, std::vector<control_action>* out);
   void call(platform_call c, time_us now, std::vector<control_action>* out);
   void call_failed(time_us now);
-  void on_watch(time_us now, const platform_reply& reply,
+  void on_watch(time_us now,
+                const platform_reply& reply,
                 std::vector<control_action>* out);
-  void on_snapshot_index(time_us now, const platform_reply& reply,
+  void on_snapshot_index(time_us now,
+                         const platform_reply& reply,
                          std::vector<control_action>* out);
-  void on_snapshot_part(time_us now, const platform_reply& reply,
+  void on_snapshot_part(time_us now,
+                        const platform_reply& reply,
                         std::vector<control_action>* out);
   void read_next_part(time_us now, std::vector<control_action>* out);
-  void on_pull(endpoint to, const gossip_message& message,
+  void on_pull(endpoint to,
+               const gossip_message& message,
                std::vector<control_action>* out);
-  void on_push(time_us now, const gossip_message& message,
+  void on_push(time_us now,
+               const gossip_message& message,
                std::vector<control_action>* out);
-  void maybe_pull(time_us now, endpoint from, const gossip_message& message,
+  void maybe_pull(time_us now,
+                  endpoint from,
+                  const gossip_message& message,
                   std::vector<control_action>* out);
-  void send_delta(endpoint to, const config_delta& delta,
+  void send_delta(endpoint to,
+                  const config_delta& delta,
                   std::vector<control_action>* out);
   void learned(time_us now, revision before, std::vector<control_action>* out);
   void bring_into_force(time_us now);
--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -23,11 +23,11 @@
 /** Timing and bounds of flow steering. */
 struct flow_options {
   time_us flow_timeout = 60 * us_per_s;  ///< A silent flow is over.
-  time_us lone_start = 3 * us_per_s; ///< Without peers, decides after this.
-  time_us note_interval = 10 * us_per_s; ///< Between notes of one bucket.
-  time_us flush_interval = 100 * us_per_ms; ///< Between copies of records.
-  size_t max_records = 1 << 20;  ///< Flows remembered at once.
-  double cold_opens = 4.0;       ///< Opens a second on a target just added.
+  time_us lone_start = 3 * us_per_s;     ///< Without peers, decides after this.
+  time_us note_interval = 10 * us_per_s;     ///< Between notes of one bucket.
+  time_us flush_interval = 100 * us_per_ms;  ///< Between copies of records.
+  size_t max_records = 1 << 20;              ///< Flows remembered at once.
+  double cold_opens = 4.0;           ///< Opens a second on a target just added.
   time_us cold_doubling = us_per_s;  ///< The rate doubles in this time.
   int cold_doublings = 12;           ///< Then the target counts as warm.
   uint8_t max_hops = 4;
@@ -104,34 +104,49 @@
     target_id oldest;
     time_us changed = 0;
     time_us other_used = 0;  ///< A target but the current one.
-    time_us noted = 0;        ///< When this balancer last sent a note.
+    time_us noted = 0;       ///< When this balancer last sent a note.
     bool used_since_note = false;
   };
   using bucket_map = std::map<uint32_t, moving_bucket>;
 
-  void compare(time_us now, service_id service, const bucket_table* before,
+  void compare(time_us now,
+               service_id service,
+               const bucket_table* before,
                const bucket_table* after);
   bool young(time_us now) const;
   const moving_bucket* moving_in(service_id service, uint32_t bucket) const;
   bool announced_move(service_id service, uint32_t bucket) const;
-  target_id place(time_us now, const datagram& m, uint32_t bucket,
+  target_id place(time_us now,
+                  const datagram& m,
+                  uint32_t bucket,
                   target_id current);
   target_id place_new(time_us now, const datagram& m, target_id current);
   bool cold_open_allowed(time_us now, target_id target);
   void tell_owner(const flow_key& key, const placement& placed);
-  void remember(time_us now, const flow_key& key, target_id target,
+  void remember(time_us now,
+                const flow_key& key,
+                target_id target,
                 bool opened);
-  void send_to_target(time_us now, datagram m, target_id target,
-                      traffic_metrics* metrics, actions* out);
+  void send_to_target(time_us now,
+                      datagram m,
+                      target_id target,
+                      traffic_metrics* metrics,
+                      actions* out);
   next_owner runner_up(uint64_t key) const;
-  void pass_on(flow_query m, const member_record* to, traffic_metrics* metrics,
+  void pass_on(flow_query m,
+               const member_record* to,
+               traffic_metrics* metrics,
                actions* out);
   void hand_over();
   void tell_new_owners(const route_table& before);
   void pull_moving(time_us now, actions* out);
-  void learn_moving(time_us now, service_id service, uint32_t bucket,
+  void learn_moving(time_us now,
+                    service_id service,
+                    uint32_t bucket,
                     target_id oldest);
-  void note_use(time_us now, service_id service, uint32_t bucket,
+  void note_use(time_us now,
+                service_id service,
+                uint32_t bucket,
                 target_id target);
   void send_notes(time_us now, actions* out);
   void copy_records(actions* out);
--- a/packages/coordination/include/turmeric/coordination/membership_base.h
+++ b/packages/coordination/include/turmeric/coordination/membership_base.h
@@ -25,8 +25,8 @@
   size_t contacts_per_zone = 4;        ///< Known members of another zone.
   size_t updates_per_message = 8;
   size_t indirect_probes = 3;
-  uint64_t join_intervals = 15;  ///< Intervals that count as joining.
-  size_t join_fanout = 3;        ///< Seeds asked an interval while joining.
+  uint64_t join_intervals = 15;      ///< Intervals that count as joining.
+  size_t join_fanout = 3;            ///< Seeds asked an interval while joining.
   size_t suspects_per_interval = 3;  ///< Probed again until they refute.
   std::vector<endpoint> seeds;
 };
--- a/packages/coordination/include/turmeric/coordination/target_gate_base.h
+++ b/packages/coordination/include/turmeric/coordination/target_gate_base.h
@@ -21,17 +21,17 @@
 /** Parameters of the ramp and the queue. */
 struct gate_options {
   uint32_t slots = 2;
-  int warm_level = 4;              ///< Level at which all slots are used.
+  int warm_level = 4;  ///< Level at which all slots are used.
   int successes_per_level = 2;
-  time_us cold_gap = 400 * us_per_ms;  ///< Between starts at level 0.
-  time_us cool_down = 300 * us_per_ms; ///< No starts after a refusal.
-  double slow_factor = 4.0;        ///< Against the usual duration.
-  time_us slow_floor = 50 * us_per_ms; ///< Never slow below this.
-  time_us idle_reset = 60 * us_per_s;  ///< Held cold after this silence.
-  time_us first_estimate = 100 * us_per_ms; ///< Duration before evidence.
-  time_us answer_margin = 200 * us_per_ms; ///< For the way back to the caller.
+  time_us cold_gap = 400 * us_per_ms;        ///< Between starts at level 0.
+  time_us cool_down = 300 * us_per_ms;       ///< No starts after a refusal.
+  double slow_factor = 4.0;                  ///< Against the usual duration.
+  time_us slow_floor = 50 * us_per_ms;       ///< Never slow below this.
+  time_us idle_reset = 60 * us_per_s;        ///< Held cold after this silence.
+  time_us first_estimate = 100 * us_per_ms;  ///< Duration before evidence.
+  time_us answer_margin = 200 * us_per_ms;  ///< For the way back to the caller.
   size_t queue_limit = 64;
-  uint32_t bulk_share = 8;         ///< One start in this many is bulk's.
+  uint32_t bulk_share = 8;  ///< One start in this many is bulk's.
 };
 
 /** What waits for a start. */
@@ -100,7 +100,8 @@
   time_us gap() const;
   time_us& usual(work_class work);
   time_us latest_start(const gate_item& item) const;
-  void expire_from(std::deque<gate_item>* queue, time_us now,
+  void expire_from(std::deque<gate_item>* queue,
+                   time_us now,
                    std::vector<gate_item>* out) const;
   void fall_back(time_us now);
   void climb(time_us now, const started& run);
--- a/packages/coordination/include/turmeric/coordination/traffic_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_core_base.h
@@ -29,8 +29,9 @@
   time_us permit_lifetime = 5 * us_per_s;
   time_us remember = 15 * us_per_s;  ///< Final results are kept this long.
   time_us take_over_wait = 2 * us_per_s;
-  time_us pause_limit = us_per_s;    ///< A longer gap was a pause.
-  time_us drain_grace = 500 * us_per_ms;///< For permits issued before a drain.
+  time_us pause_limit = us_per_s;  ///< A longer gap was a pause.
+  time_us drain_grace =
+      500 * us_per_ms;               ///< For permits issued before a drain.
   size_t max_body = 32 * 1024;       ///< Bytes of a request.
   size_t max_kept_bytes = 64 << 20;  ///< Answers kept for retransmission.
   size_t max_attempts = 1 << 20;     ///< Permits remembered at once.
@@ -62,9 +63,8 @@
                traffic_plants plants = {});
 
   /** Takes a newer snapshot into use. */
-  std::vector<traffic_action> routes(
-      time_us now,
-      std::shared_ptr<const route_table> table);
+  std::vector<traffic_action> routes(time_us now,
+                                     std::shared_ptr<const route_table> table);
 
   /** Handles a packet that the fabric delivered. */
   std::vector<traffic_action> from_caller(time_us now,
@@ -106,8 +106,8 @@
     request_id request;
     stage at = stage::issued;
     work_class work = work_class::interactive;
-    time_us expires = 0;   ///< The permit's end.
-    time_us forget = 0;    ///< The record's end.
+    time_us expires = 0;  ///< The permit's end.
+    time_us forget = 0;   ///< The record's end.
     time_us deadline = 0;
     time_us arrived = 0;
     time_us done = 0;
@@ -145,32 +145,48 @@
   void forward(Message m, const member_record* to, actions* out);
   template <typename Message>
   bool forward_to_issuer(time_us now, Message* m, actions* out);
-  void answer_at_once(const permit_request& m, result_code code,
-                      time_us retry_after, actions* out);
+  void answer_at_once(const permit_request& m,
+                      result_code code,
+                      time_us retry_after,
+                      actions* out);
   void answer_unknown(const run_request& m, actions* out);
   const target_config* pick_target(const service_config& service,
                                    const permit_request& m) const;
   bool may_work_on(const target_config& target) const;
   bool withdrawn(const target_config& target) const;
-  permit issue(time_us now, service_id service, flow_id flow,
-               request_id request, target_id target);
+  permit issue(time_us now,
+               service_id service,
+               flow_id flow,
+               request_id request,
+               target_id target);
   void send_pending(const attempt& a, actions* out);
   void run(time_us now, const run_request& m, attempt* a, actions* out);
-  result_code reason_to_refuse(time_us now, const run_request& m,
+  result_code reason_to_refuse(time_us now,
+                               const run_request& m,
                                const attempt& a) const;
-  void finish(time_us now, attempt* a, result_code code, time_us retry_after,
-              std::string body, actions* out);
-  void send_result(time_us now, const attempt& a,
-                   const std::vector<uint16_t>& missing, actions* out);
+  void finish(time_us now,
+              attempt* a,
+              result_code code,
+              time_us retry_after,
+              std::string body,
+              actions* out);
+  void send_result(time_us now,
+                   const attempt& a,
+                   const std::vector<uint16_t>& missing,
+                   actions* out);
   endpoint foreign_address(service_id service) const;
   target_gate& gate_of(time_us now, target_id target, uint32_t slots);
   void pump(time_us now, target_id target, actions* out);
   void pump_all(time_us now, actions* out);
   void forget_old(time_us now);
-  void refuse_waiting(time_us now, target_gate* gate, result_code code,
+  void refuse_waiting(time_us now,
+                      target_gate* gate,
+                      result_code code,
                       actions* out);
   void release_moved_targets(time_us now, actions* out);
-  void send_release(time_us now, target_id target, const target_gate& gate,
+  void send_release(time_us now,
+                    target_id target,
+                    const target_gate& gate,
                     actions* out);
   void cancel_overdue(time_us now, actions* out);
   void count(result_code code) { metrics_.count(code); }
@@ -183,7 +199,7 @@
   std::unordered_map<uint64_t, attempt> attempts_;
   std::deque<uint64_t> by_age_;  ///< Serials in order of issue.
   std::map<target_id, target_gate> gates_;
-  std::set<uint64_t> running_;   ///< Serials of started requests.
+  std::set<uint64_t> running_;  ///< Serials of started requests.
   std::map<target_id, time_us> drained_at_;
   traffic_metrics metrics_;
   flow_steering flows_;
--- a/packages/coordination/include/turmeric/coordination/traffic_metrics_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_metrics_base.h
@@ -14,9 +14,8 @@
 
 /** Latencies from 0.1 ms to 100 s on a logarithmic axis. */
 using latency_histogram = decltype(boost::histogram::make_histogram(
-    boost::histogram::axis::regular<
-        double,
-        boost::histogram::axis::transform::log>(1, 0.1, 1.0)));
+    boost::histogram::axis::
+        regular<double, boost::histogram::axis::transform::log>(1, 0.1, 1.0)));
 
 /** @return An empty latency histogram. */
 latency_histogram make_latency_histogram();
@@ -24,9 +23,9 @@
 /** What the users of one service in one zone saw within one time slice. */
 struct service_slice {
   uint64_t answered = 0;
-  uint64_t refused = 0;   ///< Truthfully not run.
-  uint64_t unknown = 0;   ///< Unknown outcome.
-  uint64_t in_time = 0;   ///< Interactive answers within the objective.
+  uint64_t refused = 0;      ///< Truthfully not run.
+  uint64_t unknown = 0;      ///< Unknown outcome.
+  uint64_t in_time = 0;      ///< Interactive answers within the objective.
   uint64_t interactive = 0;  ///< Interactive answers in all.
   uint64_t broken_flows = 0;
 };
--- a/packages/coordination/src/caller_core.cpp
+++ b/packages/coordination/src/caller_core.cpp
@@ -90,8 +90,8 @@
   run.right = *c->right;
   run.repeatable = r.repeatable;
   run.work = r.work;
-  run.deadline_ms = static_cast<uint32_t>(
-      std::max<time_us>(0, r.deadline - now) / us_per_ms);
+  run.deadline_ms =
+      static_cast<uint32_t>(std::max<time_us>(0, r.deadline - now) / us_per_ms);
   run.body = r.body;
   if (!c->parts.empty()) {
     for (uint16_t i = 0; i < c->parts_expected; ++i) {
@@ -135,8 +135,7 @@
   // With most of the time gone, a request that was not sent yet is better ended
   // as not run than left in doubt.
   const time_us left = c.request.deadline - now;
-  const bool late =
-      left < options_.least_time / 2 && now - c.submitted > left;
+  const bool late = left < options_.least_time / 2 && now - c.submitted > left;
   if (late) {
     finish(c, c.maybe_ran ? result_code::unknown_outcome : c.last_refusal, "",
            out);
@@ -158,8 +157,7 @@
   }
   // Parts of another attempt never mix with those of this one.
   const bool current = c.at == stage::sent && c.right &&
-                       c.right->serial == m.serial &&
-                       c.right->nonce == m.nonce;
+                       c.right->serial == m.serial && c.right->nonce == m.nonce;
   if (!current || m.part >= m.parts)
     return;
   if (c.parts_expected != 0 && c.parts_expected != m.parts)
@@ -181,9 +179,7 @@
   ended(now, &c, m, std::move(body), out);
 }
 
-void caller_core::keep_spare(time_us now,
-                             const call& c,
-                             const answer_part& m) {
+void caller_core::keep_spare(time_us now, const call& c, const answer_part& m) {
   const flow_key key{c.request.service, c.request.flow};
   if (m.next.empty())
     return;
@@ -220,13 +216,12 @@
   const bool unknown = code == result_code::unknown_outcome;
   c->maybe_ran = c->maybe_ran || unknown;
   c->retry_after_ms = static_cast<uint32_t>(retry_after / us_per_ms);
-  const bool may_repeat = unknown ? c->request.repeatable
-                                  : worth_retrying(code);
+  const bool may_repeat =
+      unknown ? c->request.repeatable : worth_retrying(code);
   if (!unknown)
     c->last_refusal = code;
   const auto spread = static_cast<uint64_t>(retry_after / 2 + us_per_ms);
-  const time_us wait =
-      retry_after + static_cast<time_us>(random_() % spread);
+  const time_us wait = retry_after + static_cast<time_us>(random_() % spread);
   const bool in_time = now + wait + options_.least_time < c->request.deadline;
   if (!may_repeat || !in_time || !spend_retry()) {
     finish(*c, c->maybe_ran ? result_code::unknown_outcome : code, "", out);
--- a/packages/coordination/src/change_commit.cpp
+++ b/packages/coordination/src/change_commit.cpp
@@ -116,12 +116,11 @@
   for (const auto& entry : other.entries) {
     if (scopes.count(scope_of(entry.key)) == 0)
       continue;
-    step.done.emplace(
-        fail(result_code::conflict,
-             fmt::format("{} is set by change {} of {} and by this change of "
-                         "{}; plan again",
-                         entry.key, other.number, other.author,
-                         change_.author)));
+    step.done.emplace(fail(
+        result_code::conflict,
+        fmt::format("{} is set by change {} of {} and by this change of "
+                    "{}; plan again",
+                    entry.key, other.number, other.author, change_.author)));
     return step;
   }
   // The number belongs to another change now, so an unanswered create of it
--- a/packages/coordination/src/control_core.cpp
+++ b/packages/coordination/src/control_core.cpp
@@ -102,8 +102,7 @@
     return;
   auto table = std::make_shared<route_table>();
   table->index = in_force_;
-  table->announced =
-      pending_.empty() ? in_force_ : pending_.back().index;
+  table->announced = pending_.empty() ? in_force_ : pending_.back().index;
   table->self = members_.self();
   table->members = members_.view();
   published_ = true;
--- a/packages/coordination/src/control_core_config.cpp
+++ b/packages/coordination/src/control_core_config.cpp
@@ -131,7 +131,7 @@
     call_failed(now);
     return;
   }
-  snapshot_.emplace();
+  snapshot_ = reading_snapshot{};
   snapshot_->index = index.value();
   read_next_part(now, out);
 }
@@ -159,8 +159,8 @@
 void control_core::on_snapshot_part(time_us now,
                                     const platform_reply& reply,
                                     std::vector<control_action>* out) {
-  const bool found = reply.status == platform_status::ok &&
-                     !reply.objects.empty();
+  const bool found =
+      reply.status == platform_status::ok && !reply.objects.empty();
   auto entries = entries_from_json(found ? reply.objects.front().value : "");
   if (!entries) {
     // A newer snapshot may have replaced the parts; start over.
--- a/packages/coordination/src/declaration.cpp
+++ b/packages/coordination/src/declaration.cpp
@@ -19,9 +19,9 @@
 }
 
 error unknown_name(const std::string& file, const ini_line& line) {
-  return at_line(file, line.line,
-                 fmt::format("[{}] has no setting '{}'", line.section,
-                             line.name));
+  return at_line(
+      file, line.line,
+      fmt::format("[{}] has no setting '{}'", line.section, line.name));
 }
 
 /** Reads a whole number between bounds. */
@@ -34,10 +34,10 @@
   const auto parsed = std::from_chars(line.value.data(), end, value);
   const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
   if (!whole || value < min || value > max) {
-    return boost::outcome_v2::failure(at_line(
-        file, line.line,
-        fmt::format("{} is '{}', expected a whole number from {} to {}",
-                    line.name, line.value, min, max)));
+    return boost::outcome_v2::failure(
+        at_line(file, line.line,
+                fmt::format("{} is '{}', expected a whole number from {} to {}",
+                            line.name, line.value, min, max)));
   }
   return value;
 }
@@ -215,8 +215,8 @@
     if (!done)
       return boost::outcome_v2::failure(done.error());
   }
-  for (const auto& [name, value] :
-       {std::pair("name", out.name), std::pair("template", out.template_name)}) {
+  for (const auto& [name, value] : {std::pair("name", out.name),
+                                    std::pair("template", out.template_name)}) {
     if (value.empty()) {
       return boost::outcome_v2::failure(
           at_line(origin, 1, fmt::format("account.{} is missing", name)));
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -74,8 +74,8 @@
   const bucket_table& buckets = *found->second;
   const uint32_t bucket = buckets.bucket_of(m.flow);
   const target_id current = buckets.targets[bucket];
-  const bool settled = moving_in(m.service, bucket) == nullptr &&
-                       !young(now) && !announced_move(m.service, bucket);
+  const bool settled = moving_in(m.service, bucket) == nullptr && !young(now) &&
+                       !announced_move(m.service, bucket);
   if (settled || plants_.forget_moving) {
     send_to_target(now, std::move(m), current, metrics, out);
     return;
@@ -150,8 +150,8 @@
   }
   const uint32_t bucket = found->second->bucket_of(m.inner.flow);
   const uint64_t key = owner_key(m.service, bucket);
-  const member_record* owner = m.last ? table_->owner_in_zone(key, 0)
-                                      : owner_contact(*table_, key);
+  const member_record* owner =
+      m.last ? table_->owner_in_zone(key, 0) : owner_contact(*table_, key);
   const bool mine = m.here || owner == nullptr || owner->id == self_.id;
   if (!mine) {
     pass_on(std::move(m), owner, metrics, out);
@@ -178,10 +178,9 @@
     const bool still = moving_in(m.service, bucket) != nullptr || young(now) ||
                        announced_move(m.service, bucket);
     const auto placed = placements_.find({m.service, m.inner.flow});
-    const bool opened =
-        placed != placements_.end() && placed->second.opened;
-    const flow_hint hint{m.service, m.inner.flow, target, opened, still,
-                         table_->index->in_force};
+    const bool opened = placed != placements_.end() && placed->second.opened;
+    const flow_hint hint{m.service, m.inner.flow, target,
+                         opened,    still,        table_->index->in_force};
     send(m.asker, packet(hint), sizeof(hint), out);
   }
   send_to_target(now, std::move(m.inner), target, metrics, out);
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -72,18 +72,14 @@
   if (found == moving_.end())
     return;
   const auto it = found->second.find(bucket);
-  const target_id current =
-      table_->index->buckets.at(service)->targets[bucket];
+  const target_id current = table_->index->buckets.at(service)->targets[bucket];
   if (it == found->second.end() || target == current)
     return;
   it->second.other_used = now;
   it->second.used_since_note = true;
 }
 
-void flow_steering::send(endpoint to,
-                         packet body,
-                         size_t bytes,
-                         actions* out) {
+void flow_steering::send(endpoint to, packet body, size_t bytes, actions* out) {
   control_bytes_ += bytes;
   out->emplace_back(send_packet{to, std::move(body), true});
 }
@@ -161,8 +157,8 @@
 
 void flow_steering::pull_moving(time_us now, actions* out) {
   // Without a configuration there is nothing to hold the answer against.
-  const bool ready = !table_->index->services.empty() &&
-                     table_->index == table_->announced;
+  const bool ready =
+      !table_->index->services.empty() && table_->index == table_->announced;
   if (synced_ || now < next_pull_ || !ready)
     return;
   next_pull_ = now + pull_interval;
@@ -305,7 +301,7 @@
 
 void flow_steering::forget_old(time_us now) {
   for (auto it = placements_.begin(); it != placements_.end();) {
-    const bool old = 
+    const bool old =
         now - it->second.used > record_lifetimes * options_.flow_timeout;
     it = old ? placements_.erase(it) : std::next(it);
   }
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -60,16 +60,17 @@
 void membership::add_updates(gossip_message* message, zone_id receiver_zone) {
   std::vector<peer*> pending;
   for (auto& [id, p] : peers_) {
-    const bool concerns = p.record.zone == receiver_zone ||
-                          p.record.zone == self_.zone;
+    const bool concerns =
+        p.record.zone == receiver_zone || p.record.zone == self_.zone;
     if (p.sends_left > 0 && concerns)
       pending.push_back(&p);
   }
   const size_t count = std::min(options_.updates_per_message, pending.size());
-  std::partial_sort(
-      pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count),
-      pending.end(),
-      [](const peer* a, const peer* b) { return a->sends_left > b->sends_left; });
+  std::partial_sort(pending.begin(),
+                    pending.begin() + static_cast<std::ptrdiff_t>(count),
+                    pending.end(), [](const peer* a, const peer* b) {
+                      return a->sends_left > b->sends_left;
+                    });
   for (size_t i = 0; i < count; ++i) {
     message->updates.push_back(pending[i]->record);
     --pending[i]->sends_left;
@@ -130,8 +131,8 @@
   const uint64_t own_score = hash_pair(role, self_.id.value);
   size_t better = 0;
   for (const auto& [id, p] : peers_) {
-    const bool rival = p.record.zone == self_.zone &&
-                       p.record.state == member_state::live;
+    const bool rival =
+        p.record.zone == self_.zone && p.record.state == member_state::live;
     if (rival && hash_pair(role, id.value) > own_score)
       ++better;
   }
@@ -394,8 +395,8 @@
     return;
   std::vector<endpoint> unknown;
   for (const endpoint seed : options_.seeds) {
-    const bool known = std::any_of(
-        peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const bool known =
+        std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
           return entry.second.record.gossip == seed &&
                  is_usable(entry.second.record);
         });
--- a/packages/coordination/src/operator_io.cpp
+++ b/packages/coordination/src/operator_io.cpp
@@ -22,9 +22,9 @@
     if (reply.status != platform_status::unavailable)
       return reply;
     const time_us backoff = std::min(backoff_min << i, backoff_max);
-    hooks.sleep(backoff_min + static_cast<time_us>(
-                                  hooks.random() %
-                                  static_cast<uint64_t>(backoff)));
+    hooks.sleep(
+        backoff_min +
+        static_cast<time_us>(hooks.random() % static_cast<uint64_t>(backoff)));
   }
   return fail(result_code::platform_unavailable,
               fmt::format("no answer to {} {} after {} calls", name_of(c.op),
--- a/packages/coordination/src/plan.cpp
+++ b/packages/coordination/src/plan.cpp
@@ -79,10 +79,10 @@
   for (const auto& target : account.targets) {
     const auto row = found->second.services.find(target.service);
     if (row == found->second.services.end()) {
-      return boost::outcome_v2::failure(mistake(
-          account, target.line,
-          fmt::format("template '{}' has no service '{}'",
-                      account.template_name, target.service)));
+      return boost::outcome_v2::failure(
+          mistake(account, target.line,
+                  fmt::format("template '{}' has no service '{}'",
+                              account.template_name, target.service)));
     }
     const bool zone_allowed =
         std::find(account.zones.begin(), account.zones.end(), target.zone) !=
@@ -130,10 +130,10 @@
     const std::string before = state.value_of(key);
     kept.insert(key);
     if (value.size() > max_entry_bytes) {
-      return fail(result_code::change_too_large,
-                  fmt::format("service {} takes {} bytes, at most {} fit",
-                              full_name(service), value.size(),
-                              max_entry_bytes));
+      return fail(
+          result_code::change_too_large,
+          fmt::format("service {} takes {} bytes, at most {} fit",
+                      full_name(service), value.size(), max_entry_bytes));
     }
     auto checked = check_removed_targets(state, before, &service, &plan);
     if (!checked)
--- a/packages/coordination/src/target_gate.cpp
+++ b/packages/coordination/src/target_gate.cpp
@@ -67,8 +67,8 @@
 }
 
 time_us target_gate::expected_wait(time_us now) const {
-  const time_us usual = std::max(
-      {usual_interactive_, usual_bulk_, options_.first_estimate});
+  const time_us usual =
+      std::max({usual_interactive_, usual_bulk_, options_.first_estimate});
   const time_us each = std::max(usual / limit(), gap());
   time_us wait = static_cast<time_us>(waiting()) * each;
   if (running(now) >= limit())
@@ -151,10 +151,10 @@
 void target_gate::climb(time_us now, const started& run) {
   const time_us took = now - run.at;
   time_us& usual_time = usual(run.work);
-  const auto slow_bound = std::max(
-      options_.slow_floor,
-      static_cast<time_us>(static_cast<double>(usual_time) *
-                           options_.slow_factor));
+  const auto slow_bound =
+      std::max(options_.slow_floor,
+               static_cast<time_us>(static_cast<double>(usual_time) *
+                                    options_.slow_factor));
   const bool slow = usual_time > 0 && took > slow_bound;
   // The usual duration is learned only from a target that is warm, since a
   // cold one is slow by nature.
@@ -165,7 +165,8 @@
   if (usual_time == 0)
     usual_time = took;
   usual_time += (took - usual_time) / usual_weight;
-  if (level_ >= options_.warm_level || ++successes_ < options_.successes_per_level)
+  if (level_ >= options_.warm_level ||
+      ++successes_ < options_.successes_per_level)
     return;
   ++level_;
   successes_ = 0;
--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -47,11 +47,10 @@
   const bool accepted = std::visit(
       [&](auto& m) {
         using message = std::decay_t<decltype(m)>;
-        constexpr bool from_callers =
-            std::is_same_v<message, permit_request> ||
-            std::is_same_v<message, run_request> ||
-            std::is_same_v<message, cancel_request> ||
-            std::is_same_v<message, datagram>;
+        constexpr bool from_callers = std::is_same_v<message, permit_request> ||
+                                      std::is_same_v<message, run_request> ||
+                                      std::is_same_v<message, cancel_request> ||
+                                      std::is_same_v<message, datagram>;
         if constexpr (from_callers) {
           m.reply_to = from;
           m.hops = 0;
--- a/packages/coordination/src/traffic_core_move.cpp
+++ b/packages/coordination/src/traffic_core_move.cpp
@@ -66,8 +66,7 @@
     a.cancelled = true;
     const target_place* place = table_->index->find(a.service, a.right.target);
     if (place != nullptr && may_work_on(*place->target)) {
-      out->emplace_back(
-          cancel_work{serial, place->target->address, a.request});
+      out->emplace_back(cancel_work{serial, place->target->address, a.request});
     }
   }
 }
--- a/packages/coordination/src/traffic_core_run.cpp
+++ b/packages/coordination/src/traffic_core_run.cpp
@@ -1,8 +1,8 @@
 /** @file traffic_core_run.cpp Permits, admission and final results. */
 #include <algorithm>
 
-#include "turmeric/coordination/checksum_func.h"
 #include "traffic_core_internal.h"
+#include "turmeric/coordination/checksum_func.h"
 
 namespace turmeric {
 namespace {
@@ -191,8 +191,8 @@
     options.slots = slots * 4;
     options.warm_level = 0;
   }
-  target_gate& gate = gates_.emplace(target, target_gate(options, now))
-                          .first->second;
+  target_gate& gate =
+      gates_.emplace(target, target_gate(options, now)).first->second;
   // An earlier home may still have requests running there.
   gate.assume_running(options.slots, now + options_.take_over_wait);
   return gate;
@@ -304,12 +304,12 @@
                                const attempt& a,
                                const std::vector<uint16_t>& missing,
                                actions* out) {
-  const size_t parts = std::max<size_t>(
-      1, (a.body.size() + part_bytes - 1) / part_bytes);
+  const size_t parts =
+      std::max<size_t>(1, (a.body.size() + part_bytes - 1) / part_bytes);
   for (size_t i = 0; i < parts; ++i) {
     const bool wanted =
-        missing.empty() || std::find(missing.begin(), missing.end(), i) !=
-                               missing.end();
+        missing.empty() ||
+        std::find(missing.begin(), missing.end(), i) != missing.end();
     if (!wanted)
       continue;
     answer_part part;
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -69,8 +69,7 @@
   try {
     const msgpack::unpack_limit limit(max_items, max_items, max_bytes,
                                       max_bytes, max_bytes, max_depth);
-    const auto handle =
-        msgpack::unpack(data, size, nullptr, nullptr, limit);
+    const auto handle = msgpack::unpack(data, size, nullptr, nullptr, limit);
     const msgpack::object& o = handle.get();
     if (o.type != msgpack::type::ARRAY || o.via.array.size < 5)
       return fail(result_code::bad_packet, "not an envelope");
@@ -117,9 +116,8 @@
     return context;
   std::array<unsigned char, key_bytes> key{};
   size_t length = 0;
-  const int bad =
-      sodium_hex2bin(key.data(), key.size(), hex_key.data(), hex_key.size(),
-                     nullptr, &length, nullptr);
+  const int bad = sodium_hex2bin(key.data(), key.size(), hex_key.data(),
+                                 hex_key.size(), nullptr, &length, nullptr);
   if (bad != 0 || length != key_bytes) {
     return fail(result_code::setting_out_of_range,
                 fmt::format("the key is not {} bytes in hex", key_bytes));
@@ -145,11 +143,10 @@
                              const char* data,
                              size_t size) {
   packet out;
-  auto opened = open_envelope(
-      context, packet_domain, data, size,
-      [&](uint32_t kind, const msgpack::object& o) {
-        return read_packet(kind, o, &out);
-      });
+  auto opened = open_envelope(context, packet_domain, data, size,
+                              [&](uint32_t kind, const msgpack::object& o) {
+                                return read_packet(kind, o, &out);
+                              });
   if (!opened)
     return boost::outcome_v2::failure(opened.error());
   return out;
@@ -178,7 +175,8 @@
 }
 
 bool same_tag(const std::string& a, const std::string& b) {
-  return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
+  return a.size() == b.size() &&
+         sodium_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
 }  // namespace turmeric
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -16,12 +16,12 @@
 namespace turmeric {
 
 // Each template takes a const or a mutable message and ties its fields.
-#define TURMERIC_FIELDS(type, ...)                                       \
-  template <typename M,                                                  \
-            std::enable_if_t<std::is_same_v<std::remove_const_t<M>, type>, \
-                             int> = 0>                                   \
-  auto fields(M& m) {                                                    \
-    return std::tie(__VA_ARGS__);                                        \
+#define TURMERIC_FIELDS(type, ...)                                             \
+  template <                                                                   \
+      typename M,                                                              \
+      std::enable_if_t<std::is_same_v<std::remove_const_t<M>, type>, int> = 0> \
+  auto fields(M& m) {                                                          \
+    return std::tie(__VA_ARGS__);                                              \
   }
 
 TURMERIC_FIELDS(endpoint, m.ip, m.port)
@@ -80,8 +80,20 @@
                 m.reply_to,
                 m.hops)
 TURMERIC_FIELDS(flow_query, m.service, m.inner, m.asker, m.last, m.here, m.hops)
-TURMERIC_FIELDS(flow_hint, m.service, m.flow, m.target, m.opened, m.moving, m.in_force)
-TURMERIC_FIELDS(flow_records, m.service, m.flows, m.targets, m.opened, m.here, m.hops)
+TURMERIC_FIELDS(flow_hint,
+                m.service,
+                m.flow,
+                m.target,
+                m.opened,
+                m.moving,
+                m.in_force)
+TURMERIC_FIELDS(flow_records,
+                m.service,
+                m.flows,
+                m.targets,
+                m.opened,
+                m.here,
+                m.hops)
 TURMERIC_FIELDS(bucket_notes, m.service, m.buckets, m.oldest, m.hops)
 TURMERIC_FIELDS(moving_pull, m.asker)
 TURMERIC_FIELDS(moving_list, m.in_force, m.services)
@@ -134,7 +146,7 @@
   template <typename Tag>
   struct convert<turmeric::strong_id<Tag>> {
     msgpack::object const& operator()(msgpack::object const& o,
-                             turmeric::strong_id<Tag>& id) const {
+                                      turmeric::strong_id<Tag>& id) const {
       id.value = o.as<uint64_t>();
       return o;
     }
@@ -150,7 +162,8 @@
 
   template <typename E>
   struct convert<E, std::enable_if_t<std::is_enum_v<E>>> {
-    msgpack::object const& operator()(msgpack::object const& o, E& value) const {
+    msgpack::object const& operator()(msgpack::object const& o,
+                                      E& value) const {
       const auto number = o.as<uint64_t>();
       if (number >= static_cast<uint64_t>(E::end))
         throw type_error();
@@ -182,9 +195,8 @@
           [&](auto&... field) {
             uint32_t i = 0;
             // Fields that an older sender did not write keep their default.
-            ((i < o.via.array.size
-                  ? (void)o.via.array.ptr[i].convert(field)
-                  : void(),
+            ((i < o.via.array.size ? (void)o.via.array.ptr[i].convert(field)
+                                   : void(),
               ++i),
              ...);
           },
--- a/packages/state/include/turmeric/state/error_type.h
+++ b/packages/state/include/turmeric/state/error_type.h
@@ -21,10 +21,8 @@
 
 /** Either a value or an error. */
 template <typename T>
-using result =
-    boost::outcome_v2::basic_result<T,
-                                    error,
-                                    boost::outcome_v2::policy::all_narrow>;
+using result = boost::outcome_v2::
+    basic_result<T, error, boost::outcome_v2::policy::all_narrow>;
 
 /** Shorthand for a failed result. */
 inline auto fail(result_code code,
--- a/packages/state/include/turmeric/state/message_type.h
+++ b/packages/state/include/turmeric/state/message_type.h
@@ -31,11 +31,11 @@
 /** A one-use right to run one request, honoured by one incarnation of one
  * balancer only. If that incarnation ends, the right ends with it. */
 struct permit {
-  zone_id zone;            ///< Availability zone of the issuer.
-  member_id home;          ///< Issuing balancer.
+  zone_id zone;    ///< Availability zone of the issuer.
+  member_id home;  ///< Issuing balancer.
   uint64_t incarnation = 0;
-  uint64_t serial = 0;     ///< Counts from 1 within the incarnation.
-  uint64_t nonce = 0;      ///< Unguessable, compared by the issuer.
+  uint64_t serial = 0;  ///< Counts from 1 within the incarnation.
+  uint64_t nonce = 0;   ///< Unguessable, compared by the issuer.
   target_id target;
   uint32_t lifetime_ms = 0;  ///< From the moment of issue.
 };
@@ -127,9 +127,9 @@
 struct flow_query {
   service_id service;
   datagram inner;
-  endpoint asker;    ///< Peer address that gets the hint.
-  bool last = false; ///< The balancer that decides asks nobody else.
-  bool here = false; ///< The receiver decides and passes it on to nobody.
+  endpoint asker;     ///< Peer address that gets the hint.
+  bool last = false;  ///< The balancer that decides asks nobody else.
+  bool here = false;  ///< The receiver decides and passes it on to nobody.
   uint8_t hops = 0;
 };
 
@@ -138,8 +138,8 @@
   service_id service;
   flow_id flow;
   target_id target;
-  bool opened = false; ///< Placed at its opening; else the default.
-  bool moving = true;  ///< Whether the bucket still has an older target.
+  bool opened = false;    ///< Placed at its opening; else the default.
+  bool moving = true;     ///< Whether the bucket still has an older target.
   uint64_t in_force = 0;  ///< Revision that the owner decided on.
 };
 
@@ -149,7 +149,7 @@
   std::vector<flow_id> flows;
   std::vector<target_id> targets;  ///< As long as `flows`.
   std::vector<bool> opened;  ///< As long: placed at its opening, no default.
-  bool here = false;  ///< For the receiver; not passed on to the owner.
+  bool here = false;         ///< For the receiver; not passed on to the owner.
   uint8_t hops = 0;
 };
 
--- a/packages/state/src/change.cpp
+++ b/packages/state/src/change.cpp
@@ -106,7 +106,8 @@
   index.format = v["format"].asUInt();
   index.at = v["revision"].asUInt64();
   if (index.format > config_format)
-    return fail(result_code::format_too_new, "the snapshot is of a newer format");
+    return fail(result_code::format_too_new,
+                "the snapshot is of a newer format");
   for (const auto& part : v["parts"])
     index.parts.push_back(part.asString());
   return index;
--- a/packages/state/src/ini.cpp
+++ b/packages/state/src/ini.cpp
@@ -47,8 +47,8 @@
                                         const std::string& origin) {
   ini_source source;
   source.text.str(text);
-  const int bad_line =
-      ini_parse_stream(&ini_source::read, &source, &ini_source::handle, &source);
+  const int bad_line = ini_parse_stream(&ini_source::read, &source,
+                                        &ini_source::handle, &source);
   if (bad_line != 0) {
     return fail(result_code::declaration_invalid,
                 "not an INI line, expected [section] or name = value", origin,
--- a/packages/state/src/log.cpp
+++ b/packages/state/src/log.cpp
@@ -68,7 +68,8 @@
 
 void set_log_level(log_category category, log_level level) {
   for (size_t i = 0; i < category_count; ++i) {
-    if (category == log_category::end || category == static_cast<log_category>(i))
+    if (category == log_category::end ||
+        category == static_cast<log_category>(i))
       levels()[i] = level;
   }
 }
--- a/packages/state/src/route.cpp
+++ b/packages/state/src/route.cpp
@@ -189,8 +189,7 @@
 
 }  // namespace
 
-const member_record* route_table::contact_in(zone_id zone,
-                                             uint64_t key) const {
+const member_record* route_table::contact_in(zone_id zone, uint64_t key) const {
   const member_record* usable = usable_contact_in(zone, key);
   if (usable != nullptr)
     return usable;
@@ -215,9 +214,8 @@
     if (std::find(scored.begin(), scored.end(), entry) == scored.end())
       scored.push_back(entry);
   }
-  std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
-    return a.first > b.first;
-  });
+  std::sort(scored.begin(), scored.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
   std::vector<zone_id> out;
   for (const auto& [score, zone] : scored)
     out.push_back(zone);
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -34,11 +34,11 @@
                             row.name, value));
   }
   if (measure < row.min || measure > row.max) {
-    return fail(result_code::setting_out_of_range,
-                fmt::format("{}.{} is '{}', expected {} from {} to {}",
-                            row.section, row.name, value,
-                            number ? "a number" : "a text of length", row.min,
-                            row.max));
+    return fail(
+        result_code::setting_out_of_range,
+        fmt::format("{}.{} is '{}', expected {} from {} to {}", row.section,
+                    row.name, value, number ? "a number" : "a text of length",
+                    row.min, row.max));
   }
   return boost::outcome_v2::success();
 }
@@ -48,8 +48,15 @@
 const std::vector<setting_row>& setting_table() {
   static const std::vector<setting_row> table = {
 #define TURMERIC_SETTING(section, name, kind, unit, value, min, max, text) \
-  {setting::section##_##name, #section, #name, setting_kind::kind, unit,   \
-   value, min, max, text},
+  {setting::section##_##name,                                              \
+   #section,                                                               \
+   #name,                                                                  \
+   setting_kind::kind,                                                     \
+   unit,                                                                   \
+   value,                                                                  \
+   min,                                                                    \
+   max,                                                                    \
+   text},
 #include "turmeric/state/table/settings.h"
 #undef TURMERIC_SETTING
   };
--- a/packages/transport/include/turmeric/transport/traffic_runner_base.h
+++ b/packages/transport/include/turmeric/transport/traffic_runner_base.h
@@ -43,7 +43,9 @@
   void stop();
 
  private:
-  void on_datagram(bool from_peer, endpoint from, const char* data,
+  void on_datagram(bool from_peer,
+                   endpoint from,
+                   const char* data,
                    size_t size);
   void take_newer_table();
   void execute(std::vector<traffic_action> actions);
--- a/packages/transport/src/admin.cpp
+++ b/packages/transport/src/admin.cpp
@@ -31,11 +31,12 @@
  public:
   explicit http_connector(endpoint local) : local_(local) {
     server_.set_payload_max_length(max_request_bytes);
-    server_.Post("/", [this](const httplib::Request& in, httplib::Response& out) {
-      std::string answer;
-      GetHandler()->HandleRequest(in.body, answer);
-      out.set_content(answer, "application/json");
-    });
+    server_.Post("/",
+                 [this](const httplib::Request& in, httplib::Response& out) {
+                   std::string answer;
+                   GetHandler()->HandleRequest(in.body, answer);
+                   out.set_content(answer, "application/json");
+                 });
   }
 
   bool StartListening() override {
@@ -142,9 +143,9 @@
 admin_server::admin_server(endpoint local,
                            codec_context context,
                            admin_hooks hooks)
-    : impl_(std::make_unique<impl>(local,
-                                   std::move(context),
-                                   std::move(hooks))) {}
+    : impl_(
+          std::make_unique<impl>(local, std::move(context), std::move(hooks))) {
+}
 
 admin_server::~admin_server() {
   stop();
--- a/packages/transport/src/platform_client.cpp
+++ b/packages/transport/src/platform_client.cpp
@@ -60,8 +60,8 @@
   for (const auto& o : v["objects"]) {
     if (!o.isObject() || !o["version"].isUInt64())
       return reply;
-    reply.objects.push_back({o["name"].asString(), o["version"].asUInt64(),
-                             o["value"].asString()});
+    reply.objects.push_back(
+        {o["name"].asString(), o["version"].asUInt64(), o["value"].asString()});
   }
   const std::string status = v["status"].asString();
   for (int i = 0; i < static_cast<int>(platform_status::end); ++i) {
--- a/packages/transport/src/target_client.cpp
+++ b/packages/transport/src/target_client.cpp
@@ -42,8 +42,8 @@
       {"X-Flow", fmt::format("{}", work.flow.value)},
       {"X-Deadline-Ms", fmt::format("{}", work.deadline_ms)},
   };
-  const auto answer = client.Post("/run", headers, work.body,
-                                  "application/octet-stream");
+  const auto answer =
+      client.Post("/run", headers, work.body, "application/octet-stream");
   if (!answer) {
     end.status = nothing_sent(answer.error()) ? work_status::unreachable
                                               : work_status::broken;
--- a/packages/transport/src/traffic_runner.cpp
+++ b/packages/transport/src/traffic_runner.cpp
@@ -103,9 +103,8 @@
   }
   take_newer_table();
   const time_us now = steady_now();
-  execute(from_peer
-              ? core_.from_peer(now, std::move(decoded.value()))
-              : core_.from_caller(now, from, std::move(decoded.value())));
+  execute(from_peer ? core_.from_peer(now, std::move(decoded.value()))
+                    : core_.from_caller(now, from, std::move(decoded.value())));
 }
 
 void traffic_runner::drop(endpoint from, const error& why) {
--- a/tests/harness/checkers.cpp
+++ b/tests/harness/checkers.cpp
@@ -44,9 +44,9 @@
 
 found service_isolation(const history& events, const sim_options&) {
   for (const auto& e : events) {
-    const bool arrives =
-        e.kind == event_kind::work || e.kind == event_kind::packet_in ||
-        e.kind == event_kind::overload;
+    const bool arrives = e.kind == event_kind::work ||
+                         e.kind == event_kind::packet_in ||
+                         e.kind == event_kind::overload;
     if (arrives && e.service != e.own_service) {
       return violation{e.at, fmt::format("target {} of {} got work of {}",
                                          e.target, e.own_service, e.service)};
@@ -90,9 +90,9 @@
   const contact_times contact(events);
   for (const auto& span : flag_spans(events, key_kind::zone_out)) {
     for (const auto& e : events) {
-      const bool arrives =
-          e.kind == event_kind::work || e.kind == event_kind::packet_in ||
-          e.kind == event_kind::overload;
+      const bool arrives = e.kind == event_kind::work ||
+                           e.kind == event_kind::packet_in ||
+                           e.kind == event_kind::overload;
       const bool inside = e.at > span.set + quiet_after && e.at < span.cleared;
       if (!arrives || !inside || span.name != fmt::format("zone{}", e.zone))
         continue;
@@ -226,9 +226,9 @@
   for (const uint64_t request : refused) {
     const auto it = ran.find(request);
     if (it != ran.end()) {
-      return violation{it->second,
-                       fmt::format("request {} was refused as not run, but ran",
-                                   request)};
+      return violation{
+          it->second,
+          fmt::format("request {} was refused as not run, but ran", request)};
     }
   }
   return std::nullopt;
@@ -261,8 +261,8 @@
       ran[e.request] = {e.balancer, e.at};
     if (e.kind == event_kind::ended)
       ended[e.balancer] = e.at;
-    const bool unknown = e.kind == event_kind::result &&
-                         e.code == result_code::unknown_outcome;
+    const bool unknown =
+        e.kind == event_kind::result && e.code == result_code::unknown_outcome;
     if (!unknown)
       continue;
     // On a network that loses packets the answer itself may be lost until the
@@ -290,8 +290,8 @@
        [](options o) { o->plants.flows.forget_moving = true; }, true},
       {"service-isolation", service_isolation,
        [](options o) { o->plants.ignore_service = true; }, false},
-      {"cold-target", cold_target,
-       [](options o) { o->plants.no_ramp = true; }, false},
+      {"cold-target", cold_target, [](options o) { o->plants.no_ramp = true; },
+       false},
       {"zone-withdrawal", zone_withdrawal,
        [](options o) {
          o->plants.ignore_zone_out = true;
--- a/tests/harness/disturbance.cpp
+++ b/tests/harness/disturbance.cpp
@@ -40,8 +40,7 @@
     else
       states[number].own += step;
     for (size_t i = 0; i < states.size(); ++i) {
-      const bool was =
-          before[i].up && before[i].own == 0 && shared_before == 0;
+      const bool was = before[i].up && before[i].own == 0 && shared_before == 0;
       const bool is = in_contact(states[i]);
       if (was && !is)
         spans_[i].push_back({states[i].since, e.at});
--- a/tests/harness/fault_plan.cpp
+++ b/tests/harness/fault_plan.cpp
@@ -14,17 +14,17 @@
 
 constexpr size_t kind_count = static_cast<size_t>(fault_kind::end);
 constexpr std::array<const char*, kind_count> names = {
-    "crash",         "freeze",         "graceful stop", "cut",
-    "one-way cut",   "platform down",  "platform slow", "platform loses answers",
-    "zone out",      "drain",          "add target",    "target turns cold",
-    "target dies",   "operators race", "silent path"};
+    "crash",       "freeze",         "graceful stop", "cut",
+    "one-way cut", "platform down",  "platform slow", "platform loses answers",
+    "zone out",    "drain",          "add target",    "target turns cold",
+    "target dies", "operators race", "silent path"};
 
 constexpr std::array planned_kinds = {
-    fault_kind::graceful,      fault_kind::graceful,
-    fault_kind::platform_down, fault_kind::platform_slow,
+    fault_kind::graceful,       fault_kind::graceful,
+    fault_kind::platform_down,  fault_kind::platform_slow,
     fault_kind::platform_loses, fault_kind::zone_out,
-    fault_kind::drain,         fault_kind::drain,
-    fault_kind::add_target,    fault_kind::race,
+    fault_kind::drain,          fault_kind::drain,
+    fault_kind::add_target,     fault_kind::race,
     fault_kind::target_cold};
 
 constexpr time_us first_fault = 2500 * us_per_ms;
--- a/tests/harness/prove_main.cpp
+++ b/tests/harness/prove_main.cpp
@@ -101,9 +101,9 @@
     for (int i = next++; i < options.runs; i = next++) {
       const uint64_t seed = options.seed + static_cast<uint64_t>(i);
       for (const bool planned : {false, true}) {
-        const sim_options o = options.plant
-                                  ? options_for(rows.front(), seed, planned, true)
-                                  : plan_run(seed, planned);
+        const sim_options o =
+            options.plant ? options_for(rows.front(), seed, planned, true)
+                          : plan_run(seed, planned);
         const history events = simulate(o);
         for (size_t r = 0; r < rows.size(); ++r) {
           if (rows[r].planned_only && !planned)
@@ -114,9 +114,8 @@
           results[r].faults += o.faults.size();
           results[r].violations += what ? 1 : 0;
           auto& first = results[r].first;
-          const bool earlier =
-              what && (!first || seed < first->seed ||
-                       (seed == first->seed && !planned));
+          const bool earlier = what && (!first || seed < first->seed ||
+                                        (seed == first->seed && !planned));
           if (earlier)
             first = first_violation{seed, planned, *what};
         }
@@ -135,9 +134,9 @@
 
 const char* name_of(event_kind kind) {
   constexpr std::array<const char*, static_cast<size_t>(event_kind::end)>
-      names = {"accepted", "in_force",  "work",      "overload",  "evidence",
-               "packet_in", "result",   "started",   "ended",     "target_cold",
-               "disturbed", "calm"};
+      names = {"accepted", "in_force",    "work",      "overload",
+               "evidence", "packet_in",   "result",    "started",
+               "ended",    "target_cold", "disturbed", "calm"};
   return names[static_cast<size_t>(kind)];
 }
 
@@ -146,10 +145,11 @@
   for (const fault& f : o.faults)
     fmt::print("# {}\n", describe(f));
   for (const auto& e : simulate(o)) {
-    fmt::print("{:>9} {} balancer={} target={} request={} flow={:x} "
-               "revision={} code={} opens={} known={} cold={}\n",
-               e.at, name_of(e.kind), e.balancer, e.target, e.request, e.flow,
-               e.number, row_of(e.code).name, e.opens, e.known_flow, e.cold);
+    fmt::print(
+        "{:>9} {} balancer={} target={} request={} flow={:x} "
+        "revision={} code={} opens={} known={} cold={}\n",
+        e.at, name_of(e.kind), e.balancer, e.target, e.request, e.flow,
+        e.number, row_of(e.code).name, e.opens, e.known_flow, e.cold);
   }
   return 0;
 }
@@ -216,9 +216,10 @@
         options.planned = true;
         break;
       default:
-        fmt::print("Usage: prove [--promise NAME] [--seed N] [--runs N] "
-                   "[--plant]\n"
-                   "       prove --history [--planned] [--seed N]\n");
+        fmt::print(
+            "Usage: prove [--promise NAME] [--seed N] [--runs N] "
+            "[--plant]\n"
+            "       prove --history [--planned] [--seed N]\n");
         return c == 'h' ? 0 : 2;
     }
   }
--- a/tests/harness/sim_balancer.cpp
+++ b/tests/harness/sim_balancer.cpp
@@ -93,7 +93,7 @@
   if (!b.frozen)
     execute(b, b.control->tick(clock_.now()));
   clock_.after(control_tick,
-               [=, this_ = this] { this_->tick_control(number, generation); });
+               [=, world = this] { world->tick_control(number, generation); });
 }
 
 void sim_world::tick_traffic(int number, uint64_t generation) {
@@ -103,7 +103,7 @@
   if (!b.frozen)
     execute(b, b.traffic->tick(clock_.now()));
   clock_.after(traffic_tick,
-               [=, this_ = this] { this_->tick_traffic(number, generation); });
+               [=, world = this] { world->tick_traffic(number, generation); });
 }
 
 void sim_world::execute(balancer& b, std::vector<control_action> actions) {
@@ -153,9 +153,9 @@
   const int number = b.number;
   const uint64_t generation = b.generation;
   // The traffic thread takes the snapshot a moment later.
-  clock_.after(static_cast<time_us>(random() % 2000), [=, this_ = this] {
-    this_->deliver(number, generation, [this_, number] {
-      balancer& here = *this_->balancers_[static_cast<size_t>(number)];
+  clock_.after(static_cast<time_us>(random() % 2000), [=, world = this] {
+    world->deliver(number, generation, [world, number] {
+      balancer& here = *world->balancers_[static_cast<size_t>(number)];
       if (!here.next_table)
         return;
       const auto next = std::move(here.next_table);
@@ -167,10 +167,10 @@
         e.incarnation = here.incarnation;
         e.number = index.in_force;
         e.content = content_of(index);
-        this_->record(e);
+        world->record(e);
         here.in_force = index.in_force;
       }
-      this_->execute(here, here.traffic->routes(this_->clock_.now(), next));
+      world->execute(here, here.traffic->routes(world->clock_.now(), next));
     });
   });
 }
@@ -210,28 +210,27 @@
     });
     return;
   }
-  transmit(from.zone, outside_zone, [this, to = out.to, m = out.body] {
-    receive_at_caller(to, m);
-  });
+  transmit(from.zone, outside_zone,
+           [this, to = out.to, m = out.body] { receive_at_caller(to, m); });
 }
 
 void sim_world::start_work_on(balancer& from, const start_work& work) {
   target* t = target_at(work.target);
   const int number = from.number;
   const uint64_t generation = from.generation;
-  const bool reachable = t != nullptr && !cut(from.zone, t->zone) &&
-                         !cut(t->zone, from.zone);
+  const bool reachable =
+      t != nullptr && !cut(from.zone, t->zone) && !cut(t->zone, from.zone);
   if (!reachable) {
     const int target_number = t == nullptr ? -1 : t->number;
-    clock_.after(connect_timeout, [=, this_ = this] {
-      this_->end_work(number, generation, target_number,
+    clock_.after(connect_timeout, [=, world = this] {
+      world->end_work(number, generation, target_number,
                       {work.serial, work_status::unreachable, 0, ""});
     });
     return;
   }
   const int target_number = t->number;
-  clock_.after(delay(from.zone, t->zone), [=, this_ = this] {
-    this_->arrive_work(target_number, work, number, generation);
+  clock_.after(delay(from.zone, t->zone), [=, world = this] {
+    world->arrive_work(target_number, work, number, generation);
   });
 }
 
@@ -282,8 +281,8 @@
   if (!b.alive || b.generation != generation)
     return;
   if (!b.traffic->may_end(clock_.now()) || b.frozen) {
-    clock_.after(stop_poll, [=, this_ = this] {
-      this_->finish_stop(number, generation, down_for);
+    clock_.after(stop_poll, [=, world = this] {
+      world->finish_stop(number, generation, down_for);
     });
     return;
   }
@@ -310,7 +309,7 @@
   b.frozen = true;
   set_disturbed(number, true);
   const uint64_t generation = b.generation;
-  clock_.after(lasts, [=, this_ = this] { this_->thaw(number, generation); });
+  clock_.after(lasts, [=, world = this] { world->thaw(number, generation); });
 }
 
 void sim_world::thaw(int number, uint64_t generation) {
--- a/tests/harness/sim_caller.cpp
+++ b/tests/harness/sim_caller.cpp
@@ -57,7 +57,8 @@
   if (random() % 40 == 0)
     execute(c, c.core->cancel(clock_.now(), r.id));
   const auto jitter = static_cast<time_us>(random() % request_pause);
-  clock_.after(request_pause + jitter, [this, number] { next_request(number); });
+  clock_.after(request_pause + jitter,
+               [this, number] { next_request(number); });
 }
 
 void sim_world::next_packet(int number) {
--- a/tests/harness/sim_clock.h
+++ b/tests/harness/sim_clock.h
@@ -1,4 +1,5 @@
-/** @file sim_clock.h Virtual time: events in order of time, then of creation. */
+/** @file sim_clock.h Virtual time: events in order of time, then of creation.
+ */
 #ifndef TURMERIC_TESTS_HARNESS_SIM_CLOCK_H_
 #define TURMERIC_TESTS_HARNESS_SIM_CLOCK_H_
 
--- a/tests/harness/sim_operator.cpp
+++ b/tests/harness/sim_operator.cpp
@@ -20,8 +20,8 @@
     int from_zone,
     const std::function<void(platform_reply)>& reply) {
   store_.count(call.op);
-  const auto lost = [=, this_ = this] {
-    this_->clock_.after(call.timeout, [=] {
+  const auto lost = [=, world = this] {
+    world->clock_.after(call.timeout, [=] {
       platform_reply none;
       none.id = call.id;
       reply(none);
@@ -32,23 +32,22 @@
     return;
   }
   const time_us slow = store_.faults.slow_ms * us_per_ms;
-  clock_.after(platform_delay + slow, [=, this_ = this] {
+  clock_.after(platform_delay + slow, [=, world = this] {
     const auto exists = [&] {
       platform_call get;
       get.name = call.name;
-      return this_->store_.execute(get, 0).status == platform_status::ok;
+      return world->store_.execute(get, 0).status == platform_status::ok;
     };
     const bool existed = exists();
-    platform_reply answer = this_->store_.execute(call, this_->random());
-    const bool created =
-        call.op == platform_op::create && !existed && exists();
+    platform_reply answer = world->store_.execute(call, world->random());
+    const bool created = call.op == platform_op::create && !existed && exists();
     if (created) {
       auto parsed = change_from_json(call.value);
       history_event e;
       e.kind = event_kind::accepted;
       e.number = parsed.value().number;
       e.entries = parsed.value().entries;
-      this_->record(e);
+      world->record(e);
     }
     const bool unanswered = answer.status == platform_status::unavailable ||
                             cut(platform_zone, from_zone) ||
@@ -61,13 +60,13 @@
                        answer.objects.empty() &&
                        answer.status == platform_status::ok;
     if (waits) {
-      const waiting_watch w{call, this_->clock_.now() + call.timeout, reply};
-      this_->watches_.push_back(w);
-      if (!std::exchange(this_->polling_, true))
-        this_->clock_.after(watch_poll, [this_] { this_->settle_watches(); });
+      const waiting_watch w{call, world->clock_.now() + call.timeout, reply};
+      world->watches_.push_back(w);
+      if (!std::exchange(world->polling_, true))
+        world->clock_.after(watch_poll, [world] { world->settle_watches(); });
       return;
     }
-    this_->clock_.after(platform_delay, [=] { reply(answer); });
+    world->clock_.after(platform_delay, [=] { reply(answer); });
   });
 }
 
@@ -83,7 +82,8 @@
     }
     if (!answer.objects.empty() || due) {
       answer.id = w.call.id;
-      clock_.after(platform_delay, [reply = w.reply, answer] { reply(answer); });
+      clock_.after(platform_delay,
+                   [reply = w.reply, answer] { reply(answer); });
       continue;
     }
     still.push_back(w);
@@ -111,20 +111,19 @@
                            commit_step step) {
   if (step.done)
     return;
-  clock_.after(step.delay, [=, this_ = this] {
-    this_->platform_call_at(*step.call, outside_zone,
-                            [this_, machine](platform_reply reply) {
-                              this_->run_commit(machine,
-                                                machine->on_reply(reply));
-                            });
+  clock_.after(step.delay, [=, world = this] {
+    world->platform_call_at(
+        *step.call, outside_zone, [world, machine](platform_reply reply) {
+          world->run_commit(machine, machine->on_reply(reply));
+        });
   });
 }
 
 void sim_world::declare_all() {
   std::vector<config_entry> entries;
   for (const auto& service : declared_services()) {
-    entries.push_back({make_key(key_kind::service, full_name(service)),
-                       to_json(service), 0});
+    entries.push_back(
+        {make_key(key_kind::service, full_name(service)), to_json(service), 0});
   }
   commit("operator", std::move(entries));
 }
@@ -192,9 +191,9 @@
       break;
     }
     case fault_kind::drain: {
-      const std::string key =
-          make_key(key_kind::target_drain,
-                   targets_[static_cast<size_t>(f.subject % target_count)]->name);
+      const std::string key = make_key(
+          key_kind::target_drain,
+          targets_[static_cast<size_t>(f.subject % target_count)]->name);
       set_flag(key, true);
       clock_.after(f.lasts, [this, key] { set_flag(key, false); });
       break;
--- a/tests/harness/sim_target.cpp
+++ b/tests/harness/sim_target.cpp
@@ -73,8 +73,8 @@
   turn_cold(number);
   for (const auto& [key, w] : lost) {
     const running_work work = w;
-    clock_.after(us_per_ms, [=, this_ = this] {
-      this_->end_work(work.balancer, work.generation, number,
+    clock_.after(us_per_ms, [=, world = this] {
+      world->end_work(work.balancer, work.generation, number,
                       {work.serial, work_status::broken, 0, ""});
     });
   }
@@ -106,8 +106,8 @@
     // A cold target that is overloaded falls over and stays cold for longer.
     if (cold(t))
       t.cold_until = clock_.now() + cold_time;
-    clock_.after(delay(t.zone, b.zone), [=, this_ = this] {
-      this_->end_work(from, generation, number,
+    clock_.after(delay(t.zone, b.zone), [=, world = this] {
+      world->end_work(from, generation, number,
                       {work.serial, work_status::refused, 100, ""});
     });
     return;
@@ -119,8 +119,8 @@
   time_us duration = work_time + static_cast<time_us>(random() % work_time);
   if (cold(t))
     duration *= cold_slowdown;
-  clock_.after(duration, [=, this_ = this, life = t.generation] {
-    this_->finish_work(number, life, key);
+  clock_.after(duration, [=, world = this, life = t.generation] {
+    world->finish_work(number, life, key);
   });
 }
 
@@ -138,8 +138,8 @@
     end = {work.serial, work_status::broken, 0, ""};
     wait = broken_after;
   }
-  clock_.after(wait, [=, this_ = this] {
-    this_->end_work(work.balancer, work.generation, number, end);
+  clock_.after(wait, [=, world = this] {
+    world->end_work(work.balancer, work.generation, number, end);
   });
 }
 
--- a/tests/harness/sim_types.h
+++ b/tests/harness/sim_types.h
@@ -12,18 +12,18 @@
 
 /** What a history line tells. */
 enum class event_kind {
-  accepted,      ///< A change was created on the platform.
-  in_force,      ///< A balancer uses a revision.
-  work,          ///< A target began to run a request.
-  overload,      ///< A target got more work than it bears and refused it.
-  evidence,      ///< A balancer heard a refusal or a failure of a target.
-  packet_in,     ///< A target got a packet of an opaque flow.
-  result,        ///< A caller got the one final result of a request.
-  started,       ///< A balancer started.
-  ended,         ///< A balancer died or ended a graceful stop.
-  target_cold,   ///< A target turned cold.
-  disturbed,     ///< A disturbance of one balancer or of all began.
-  calm,          ///< It ended.
+  accepted,     ///< A change was created on the platform.
+  in_force,     ///< A balancer uses a revision.
+  work,         ///< A target began to run a request.
+  overload,     ///< A target got more work than it bears and refused it.
+  evidence,     ///< A balancer heard a refusal or a failure of a target.
+  packet_in,    ///< A target got a packet of an opaque flow.
+  result,       ///< A caller got the one final result of a request.
+  started,      ///< A balancer started.
+  ended,        ///< A balancer died or ended a graceful stop.
+  target_cold,  ///< A target turned cold.
+  disturbed,    ///< A disturbance of one balancer or of all began.
+  calm,         ///< It ended.
   end
 };
 
@@ -36,11 +36,11 @@
   uint64_t incarnation = 0;
   uint64_t request = 0;
   uint64_t flow = 0;
-  int zone = -1;            ///< Of the target.
+  int zone = -1;  ///< Of the target.
   std::string target_name;
   std::string service;      ///< Of the request or packet.
   std::string own_service;  ///< Of the target.
-  time_us deadline = 0;  ///< Of a request.
+  time_us deadline = 0;     ///< Of a request.
   revision number = 0;
   uint64_t content = 0;  ///< Hash of a configuration.
   std::vector<config_entry> entries;
@@ -58,11 +58,11 @@
 
 /** Kinds of faults and of planned changes. */
 enum class fault_kind {
-  crash,           ///< Balancer dies; a new one starts later.
-  freeze,          ///< Balancer is paused.
-  graceful,        ///< Balancer stops gracefully; a new one starts later.
-  cut,             ///< Two zones lose each other.
-  cut_one_way,     ///< Only one direction is lost.
+  crash,        ///< Balancer dies; a new one starts later.
+  freeze,       ///< Balancer is paused.
+  graceful,     ///< Balancer stops gracefully; a new one starts later.
+  cut,          ///< Two zones lose each other.
+  cut_one_way,  ///< Only one direction is lost.
   platform_down,
   platform_slow,
   platform_loses,  ///< Answers to writes are lost.
--- a/tests/harness/sim_world.cpp
+++ b/tests/harness/sim_world.cpp
@@ -4,9 +4,9 @@
 namespace turmeric::tests {
 namespace {
 
-constexpr time_us local_delay = 200;         // within a zone
-constexpr time_us zone_delay = 1500;         // between zones
-constexpr time_us outside_delay = us_per_ms; // to and from callers
+constexpr time_us local_delay = 200;          // within a zone
+constexpr time_us zone_delay = 1500;          // between zones
+constexpr time_us outside_delay = us_per_ms;  // to and from callers
 /** Requests stop this long before the end, so that all can finish. */
 constexpr time_us quiet_tail = 5 * us_per_s;
 
@@ -44,9 +44,7 @@
   history_.push_back(std::move(event));
 }
 
-void sim_world::deliver(int number,
-                        uint64_t generation,
-                        sim_clock::event fn) {
+void sim_world::deliver(int number, uint64_t generation, sim_clock::event fn) {
   balancer& b = *balancers_[static_cast<size_t>(number)];
   if (!b.alive || b.generation != generation)
     return;
--- a/tests/harness/sim_world.h
+++ b/tests/harness/sim_world.h
@@ -109,8 +109,7 @@
   void send_traffic(balancer& from, const send_packet& out);
   void start_work_on(balancer& from, const start_work& work);
   void cancel_work_on(balancer& from, const cancel_work& work);
-  void end_work(int balancer, uint64_t generation, int target,
-                work_result end);
+  void end_work(int balancer, uint64_t generation, int target, work_result end);
   void graceful_stop(int number, time_us down_for);
   void finish_stop(int number, uint64_t generation, time_us down_for);
   void crash(int number, time_us down_for);
@@ -121,7 +120,9 @@
   void add_target(const std::string& service, int zone, bool declared);
   target* target_at(endpoint address);
   bool cold(const target& t) const;
-  void arrive_work(int target_number, const start_work& work, int balancer,
+  void arrive_work(int target_number,
+                   const start_work& work,
+                   int balancer,
                    uint64_t generation);
   void finish_work(int target_number, uint64_t generation, uint64_t key);
   void arrive_datagram(int target_number, const datagram& m, int from);
@@ -141,7 +142,8 @@
   void caller_done(caller& c, const caller_result& result);
 
   // sim_operator.cpp
-  void platform_call_at(const platform_call& call, int from_zone,
+  void platform_call_at(const platform_call& call,
+                        int from_zone,
                         const std::function<void(platform_reply)>& reply);
   void settle_watches();
   void commit(std::string author, std::vector<config_entry> entries);
--- a/tests/standins/check_main.cpp
+++ b/tests/standins/check_main.cpp
@@ -38,8 +38,7 @@
       if (event == "run")
         ++r.runs;
       overloads += event == "overload" ? 1 : 0;
-      const bool stray =
-          event != "result" && v["service"] != v["own_service"];
+      const bool stray = event != "result" && v["service"] != v["own_service"];
       wrong_service += stray ? 1 : 0;
       if (event != "result")
         continue;
--- a/tests/standins/history_file.h
+++ b/tests/standins/history_file.h
@@ -1,4 +1,5 @@
-/** @file history_file.h History lines written by stand-ins, read by checkers. */
+/** @file history_file.h History lines written by stand-ins, read by checkers.
+ */
 #ifndef TURMERIC_TESTS_STANDINS_HISTORY_FILE_H_
 #define TURMERIC_TESTS_STANDINS_HISTORY_FILE_H_
 
--- a/tests/standins/options.cpp
+++ b/tests/standins/options.cpp
@@ -44,8 +44,7 @@
 
 int64_t option_map::number(const std::string& name, int64_t fallback) const {
   const std::string value = text(name);
-  return value.empty() ? fallback
-                       : std::strtoll(value.c_str(), nullptr, 10);
+  return value.empty() ? fallback : std::strtoll(value.c_str(), nullptr, 10);
 }
 
 endpoint option_map::address(const std::string& name) const {
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -29,20 +29,19 @@
     for (int i = 0; i < static_cast<int>(platform_op::end); ++i) {
       const auto op = static_cast<platform_op>(i);
       const std::string path = "/v1/" + std::string(name_of(op));
-      server_.Post(path.c_str(), [this, op](const httplib::Request& in,
-                                            httplib::Response& out) {
-        serve(op, in, &out);
-      });
+      server_.Post(path.c_str(),
+                   [this, op](const httplib::Request& in,
+                              httplib::Response& out) { serve(op, in, &out); });
     }
-    server_.Post("/faults", [this](const httplib::Request& in,
-                                   httplib::Response& out) {
-      set_faults(in.body);
-      out.set_content("{}", "application/json");
-    });
-    server_.Get("/calls", [this](const httplib::Request&,
-                                 httplib::Response& out) {
-      out.set_content(calls(), "application/json");
-    });
+    server_.Post("/faults",
+                 [this](const httplib::Request& in, httplib::Response& out) {
+                   set_faults(in.body);
+                   out.set_content("{}", "application/json");
+                 });
+    server_.Get("/calls",
+                [this](const httplib::Request&, httplib::Response& out) {
+                  out.set_content(calls(), "application/json");
+                });
     server_.new_task_queue = [] {
       return new httplib::ThreadPool(server_threads);
     };
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -11,10 +11,10 @@
 
 /** Faults on demand. */
 struct platform_faults {
-  bool down = false;            ///< Nothing is answered, nothing happens.
-  uint32_t lose_answers = 0;    ///< Percent of writes answered with silence.
-  uint32_t slow_ms = 0;         ///< Added to each call.
-  uint64_t keep_from = 0;       ///< Watches before this log number are gone.
+  bool down = false;          ///< Nothing is answered, nothing happens.
+  uint32_t lose_answers = 0;  ///< Percent of writes answered with silence.
+  uint32_t slow_ms = 0;       ///< Added to each call.
+  uint64_t keep_from = 0;     ///< Watches before this log number are gone.
 };
 
 /** Objects with versions; one call at a time. */
--- a/tests/standins/target_main.cpp
+++ b/tests/standins/target_main.cpp
@@ -109,9 +109,8 @@
     const time_us end = steady_now() + work_ms * us_per_ms * (cold ? 3 : 1);
     while (steady_now() < end && !cancelled(request))
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    std::string body =
-        fmt::format("request={} service={} target={}\n", request, service_,
-                    name_);
+    std::string body = fmt::format("request={} service={} target={}\n", request,
+                                   service_, name_);
     for (size_t i = 0; i < size; ++i)
       body += static_cast<char>('a' + (i + body.size()) % 26);
     --running_;
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,89 @@
+/** @file codec_test.cpp Datagrams: round trips, garbage, strangers. */
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "turmeric/protocol/codec_func.h"
+
+namespace turmeric {
+namespace {
+
+const std::string key_a(64, 'a');
+const std::string key_b(64, 'b');
+
+codec_context context(const std::string& cluster, const std::string& key) {
+  return make_codec_context(cluster, key).value();
+}
+
+run_request sample() {
+  run_request m;
+  m.service = service_id{5};
+  m.request = request_id{77};
+  m.right.serial = 9;
+  m.body = "hello";
+  m.missing = {1, 3};
+  m.reply_to = {0x7f000001, 99};
+  return m;
+}
+
+int code_of(const result<packet>& r) {
+  return r ? 0 : static_cast<int>(r.error().code);
+}
+
+BOOST_AUTO_TEST_SUITE(codec_suite)
+
+BOOST_AUTO_TEST_CASE(round_trip_keeps_all_fields) {
+  const auto c = context("x", key_a);
+  const std::string data = encode(c, packet(sample()));
+  const auto back = decode_packet(c, data.data(), data.size());
+  BOOST_REQUIRE(back);
+  const auto& m = std::get<run_request>(back.value());
+  BOOST_TEST(m.body == "hello");
+  BOOST_TEST(m.missing.size() == 2u);
+  BOOST_TEST(m.right.serial == 9u);
+  BOOST_TEST(m.reply_to.port == 99);
+}
+
+BOOST_AUTO_TEST_CASE(strangers_are_told_apart) {
+  const auto c = context("x", key_a);
+  const std::string other_key = encode(context("x", key_b), packet(sample()));
+  const std::string other_cluster =
+      encode(context("y", key_a), packet(sample()));
+  BOOST_TEST(code_of(decode_packet(c, other_key.data(), other_key.size())) ==
+             static_cast<int>(result_code::bad_signature));
+  BOOST_TEST(
+      code_of(decode_packet(c, other_cluster.data(), other_cluster.size())) ==
+      static_cast<int>(result_code::wrong_cluster));
+  const std::string gossip = encode(c, gossip_message{});
+  BOOST_TEST(code_of(decode_packet(c, gossip.data(), gossip.size())) ==
+             static_cast<int>(result_code::bad_packet));
+}
+
+BOOST_AUTO_TEST_CASE(truncated_packets_are_refused) {
+  const auto c = context("x", "");
+  const std::string data = encode(c, packet(sample()));
+  for (size_t size = 0; size < data.size(); ++size)
+    BOOST_TEST(!decode_packet(c, data.data(), size).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(mutated_packets_never_crash) {
+  const auto c = context("x", "");
+  std::mt19937 random(7);
+  const std::string good = encode(c, packet(sample()));
+  int decoded = 0;
+  for (int i = 0; i < 20000; ++i) {
+    std::string data = good;
+    for (int j = 0; j < 3; ++j)
+      data[random() % data.size()] = static_cast<char>(random());
+    decoded += decode_packet(c, data.data(), data.size()) ? 1 : 0;
+    decoded += decode_gossip(c, data.data(), data.size()) ? 1 : 0;
+  }
+  // Some mutations hit only payload bytes and stay valid packets.
+  BOOST_TEST(decoded < 20000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace turmeric
--- /dev/null
+++ b/tests/unit/unit_main.cpp
@@ -0,0 +1,3 @@
+/** @file unit_main.cpp Entry of the unit tests. */
+#define BOOST_TEST_MODULE turmericstream
+#include <boost/test/unit_test.hpp>
