--- a/apps/turmericd/admin_json.cpp
+++ b/apps/turmericd/admin_json.cpp
@@ -26,8 +26,60 @@
   return v;
 }
 
-Json::Value metrics_to_json(const traffic_metrics& metrics, time_us now) {
+namespace {
+
+Json::Value series_to_json(const slice_series& series, time_us now) {
+  Json::Value out = Json::arrayValue;
+  for (const auto& [key, slice] : series.all()) {
+    Json::Value s;
+    s["service"] = Json::UInt64(key.service.value);
+    s["zone"] = Json::UInt64(key.zone.value);
+    s["age"] = Json::Int64(now / series.length() - key.slice);
+    s["answered"] = Json::UInt64(slice.answered);
+    s["refused"] = Json::UInt64(slice.refused);
+    s["unknown"] = Json::UInt64(slice.unknown);
+    s["interactive"] = Json::UInt64(slice.interactive);
+    s["in_time"] = Json::UInt64(slice.in_time);
+    s["broken_flows"] = Json::UInt64(slice.broken_flows);
+    out.append(s);
+  }
+  return out;
+}
+
+/** Names and objectives, so that reports need no platform. */
+Json::Value services_to_json(const route_table& table) {
+  Json::Value out = Json::arrayValue;
+  for (const auto& [id, service] : table.index->services) {
+    Json::Value s;
+    s["id"] = Json::UInt64(id.value);
+    s["account"] = service->account;
+    s["name"] = service->name;
+    s["availability"] = service->objective.availability;
+    s["latency_ms"] = service->objective.latency_ms;
+    s["latency_share"] = service->objective.latency_share;
+    s["targets"] = Json::arrayValue;
+    for (const auto& target : service->targets) {
+      Json::Value t;
+      t["id"] = Json::UInt64(target.id.value);
+      t["name"] = target.name;
+      t["zone"] = target.zone_name;
+      t["zone_id"] = Json::UInt64(target.zone.value);
+      t["zone_out"] = table.index->zones_out.count(target.zone) > 0;
+      s["targets"].append(t);
+    }
+    out.append(s);
+  }
+  return out;
+}
+
+}  // namespace
+
+Json::Value metrics_to_json(const traffic_metrics& metrics,
+                            const route_table* table,
+                            time_us now,
+                            time_us uptime) {
   Json::Value v;
+  v["uptime_s"] = Json::Int64(uptime / us_per_s);
   v["packets_in"] = Json::UInt64(metrics.packets_in());
   v["packets_forwarded"] = Json::UInt64(metrics.packets_forwarded());
   for (const auto& [code, count] : metrics.codes())
@@ -41,20 +93,18 @@
     b["count"] = Json::UInt64(static_cast<uint64_t>(*bin));
     v["latency_bins"].append(b);
   }
-  v["slices"] = Json::arrayValue;
-  for (const auto& [key, slice] : metrics.slices()) {
-    Json::Value s;
-    s["service"] = Json::UInt64(key.service.value);
-    s["zone"] = Json::UInt64(key.zone.value);
-    s["age"] = Json::Int64(now / slice_length - key.slice);
-    s["answered"] = Json::UInt64(slice.answered);
-    s["refused"] = Json::UInt64(slice.refused);
-    s["unknown"] = Json::UInt64(slice.unknown);
-    s["interactive"] = Json::UInt64(slice.interactive);
-    s["in_time"] = Json::UInt64(slice.in_time);
-    s["broken_flows"] = Json::UInt64(slice.broken_flows);
-    v["slices"].append(s);
+  v["fine"] = series_to_json(metrics.fine(), now);
+  v["coarse"] = series_to_json(metrics.coarse(), now);
+  v["starts"] = Json::arrayValue;
+  for (const auto& [target, count] : metrics.starts()) {
+    Json::Value t;
+    t["target"] = Json::UInt64(target.value);
+    t["count"] = Json::UInt64(count);
+    v["starts"].append(t);
   }
+  v["services"] = Json::arrayValue;
+  if (table != nullptr)
+    v["services"] = services_to_json(*table);
   return v;
 }
 
--- a/apps/turmericd/admin_json.h
+++ b/apps/turmericd/admin_json.h
@@ -6,15 +6,21 @@
 
 #include "turmeric/coordination/control_core_base.h"
 #include "turmeric/coordination/traffic_metrics_base.h"
+#include "turmeric/state/route_base.h"
 
 namespace turmeric {
 
 /** @return The status for `turmericstream status`. */
 Json::Value status_to_json(const control_status& status);
 
-/** @return Counters and slices for `turmericstream report burn`; slices are
- * named by their age, so that reports of several balancers can be added. */
-Json::Value metrics_to_json(const traffic_metrics& metrics, time_us now);
+/** @return Counters, slices and the services they are about, for
+ * `turmericstream metrics` and `report burn`. Slices are named by their age,
+ * so that those of several balancers can be added.
+ * @param table May be null. */
+Json::Value metrics_to_json(const traffic_metrics& metrics,
+                            const route_table* table,
+                            time_us now,
+                            time_us uptime);
 
 }  // namespace turmeric
 
--- a/apps/turmericd/main.cpp
+++ b/apps/turmericd/main.cpp
@@ -67,8 +67,11 @@
     auto status = control->status();
     return status ? status_to_json(status.value()) : Json::Value();
   };
-  hooks.metrics = [traffic] {
-    return metrics_to_json(traffic->metrics(), steady_now());
+  const time_us started = steady_now();
+  hooks.metrics = [traffic, started] {
+    const auto table = traffic->table();
+    const time_us now = steady_now();
+    return metrics_to_json(traffic->metrics(), table.get(), now, now - started);
   };
   hooks.set_log_level = set_levels;
   return hooks;
--- a/packages/coordination/include/turmeric/coordination/traffic_metrics_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_metrics_base.h
@@ -34,7 +34,7 @@
 struct slice_key {
   service_id service;
   zone_id zone;
-  int64_t slice = 0;  ///< Time divided by slice_length.
+  int64_t slice = 0;  ///< Time divided by the length of a slice.
 
   bool operator<(const slice_key& o) const {
     return std::tie(service, zone, slice) <
@@ -42,10 +42,37 @@
   }
 };
 
-/** Length of a time slice. */
-constexpr time_us slice_length = 10 * us_per_s;
-/** Slices kept by a balancer: one hour. */
-constexpr int64_t slices_kept = 360;
+/** Adds @p more to @p sum. */
+void add(service_slice* sum, const service_slice& more);
+
+/** Length of a fine time slice. */
+constexpr time_us fine_slice = 10 * us_per_s;
+/** Fine slices kept by a balancer: one hour. */
+constexpr int64_t fine_slices_kept = 360;
+/** Length of a coarse time slice. */
+constexpr time_us coarse_slice = 300 * us_per_s;
+/** Coarse slices kept by a balancer: three days. */
+constexpr int64_t coarse_slices_kept = 864;
+
+/** Counts of services by time slice, oldest ones dropped. */
+class slice_series {
+ public:
+  slice_series(time_us length, int64_t kept) : length_(length), kept_(kept) {}
+
+  /** @return The current slice of a service in a zone. */
+  service_slice& at(time_us now, service_id service, zone_id zone);
+
+  /** @return All slices kept. */
+  const std::map<slice_key, service_slice>& all() const { return slices_; }
+
+  /** @return The length of a slice. */
+  time_us length() const { return length_; }
+
+ private:
+  time_us length_;
+  int64_t kept_;
+  std::map<slice_key, service_slice> slices_;
+};
 
 /** Counters of one balancer; merged over balancers by addition. */
 class traffic_metrics {
@@ -67,6 +94,12 @@
   /** Records that a packet of an established flow found no target. */
   void broken_flow(time_us now, service_id service, zone_id zone);
 
+  /** Records that a request was started on a target. */
+  void started(target_id target) { ++starts_[target]; }
+
+  /** @return Requests started, by target. */
+  const std::map<target_id, uint64_t>& starts() const { return starts_; }
+
   /** Counts a packet taken in. */
   void packet_in() { ++packets_in_; }
 
@@ -76,8 +109,11 @@
   /** @return Events by result code. */
   const std::map<result_code, uint64_t>& codes() const { return codes_; }
 
-  /** @return All slices kept. */
-  const std::map<slice_key, service_slice>& slices() const { return slices_; }
+  /** @return The last hour in fine slices. */
+  const slice_series& fine() const { return fine_; }
+
+  /** @return The last three days in coarse slices. */
+  const slice_series& coarse() const { return coarse_; }
 
   /** @return Latency of interactive answers, in ms, of all services. */
   const latency_histogram& latency() const { return latency_; }
@@ -86,10 +122,10 @@
   uint64_t packets_forwarded() const { return packets_forwarded_; }
 
  private:
-  service_slice& slice_of(time_us now, service_id service, zone_id zone);
-
   std::map<result_code, uint64_t> codes_;
-  std::map<slice_key, service_slice> slices_;
+  slice_series fine_{fine_slice, fine_slices_kept};
+  slice_series coarse_{coarse_slice, coarse_slices_kept};
+  std::map<target_id, uint64_t> starts_;
   latency_histogram latency_;
   uint64_t packets_in_ = 0;
   uint64_t packets_forwarded_ = 0;
--- a/packages/coordination/src/traffic_core_run.cpp
+++ b/packages/coordination/src/traffic_core_run.cpp
@@ -223,6 +223,7 @@
     const target_place* place = table_->index->find(a.service, target);
     a.at = stage::running;
     running_.insert(item->serial);
+    metrics_.started(target);
     start_work work;
     work.serial = a.right.serial;
     work.target = plants_.ignore_service ? foreign_address(a.service)
--- a/packages/coordination/src/traffic_metrics.cpp
+++ b/packages/coordination/src/traffic_metrics.cpp
@@ -18,16 +18,23 @@
 
 traffic_metrics::traffic_metrics() : latency_(make_latency_histogram()) {}
 
-service_slice& traffic_metrics::slice_of(time_us now,
-                                         service_id service,
-                                         zone_id zone) {
-  const int64_t slice = now / slice_length;
+void add(service_slice* sum, const service_slice& more) {
+  sum->answered += more.answered;
+  sum->refused += more.refused;
+  sum->unknown += more.unknown;
+  sum->in_time += more.in_time;
+  sum->interactive += more.interactive;
+  sum->broken_flows += more.broken_flows;
+}
+
+service_slice& slice_series::at(time_us now, service_id service, zone_id zone) {
+  const int64_t slice = now / length_;
   const slice_key key{service, zone, slice};
   const auto it = slices_.find(key);
   if (it != slices_.end())
     return it->second;
   for (auto old = slices_.begin(); old != slices_.end();) {
-    const bool expired = old->first.slice < slice - slices_kept;
+    const bool expired = old->first.slice < slice - kept_;
     old = expired ? slices_.erase(old) : std::next(old);
   }
   return slices_[key];
@@ -41,25 +48,37 @@
                             time_us latency,
                             time_us objective) {
   count(code);
-  service_slice& slice = slice_of(now, service, zone);
+  // Steps of the protocol that the caller repeats at once, and what the caller
+  // gave up itself, say nothing of the service.
+  const bool neutral = code == result_code::refused_moved ||
+                       code == result_code::refused_stopping ||
+                       code == result_code::refused_expired ||
+                       code == result_code::cancelled;
+  if (neutral)
+    return;
+  service_slice one;
   if (code == result_code::unknown_outcome)
-    ++slice.unknown;
+    one.unknown = 1;
   else if (code != result_code::ok)
-    ++slice.refused;
+    one.refused = 1;
   else
-    ++slice.answered;
-  if (code != result_code::ok || work != work_class::interactive)
-    return;
-  ++slice.interactive;
-  if (latency <= objective)
-    ++slice.in_time;
-  latency_(static_cast<double>(latency) / us_per_ms);
+    one.answered = 1;
+  if (code == result_code::ok && work == work_class::interactive) {
+    one.interactive = 1;
+    one.in_time = latency <= objective ? 1 : 0;
+    latency_(static_cast<double>(latency) / us_per_ms);
+  }
+  add(&fine_.at(now, service, zone), one);
+  add(&coarse_.at(now, service, zone), one);
 }
 
 void traffic_metrics::broken_flow(time_us now,
                                   service_id service,
                                   zone_id zone) {
-  ++slice_of(now, service, zone).broken_flows;
+  service_slice one;
+  one.broken_flows = 1;
+  add(&fine_.at(now, service, zone), one);
+  add(&coarse_.at(now, service, zone), one);
 }
 
 }  // namespace turmeric
--- a/packages/transport/include/turmeric/transport/traffic_runner_base.h
+++ b/packages/transport/include/turmeric/transport/traffic_runner_base.h
@@ -39,6 +39,11 @@
   /** @return A copy of the metrics, made by the traffic thread. */
   traffic_metrics metrics();
 
+  /** @return The snapshot handed in last; may be null. */
+  std::shared_ptr<const route_table> table() const {
+    return std::atomic_load(&next_table_);
+  }
+
   /** Ends all threads. */
   void stop();
 
--- /dev/null
+++ b/tests/unit/burn_test.cpp
@@ -0,0 +1,72 @@
+/** @file burn_test.cpp Burn rates and alarms. */
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "turmeric/coordination/burn_func.h"
+
+namespace turmeric {
+namespace {
+
+namespace data = boost::unit_test::data;
+
+struct burn_case {
+  int64_t from_minutes;  ///< Age at which the trouble began.
+  int64_t to_minutes;    ///< Age at which it ended.
+  uint64_t bad_of_thousand;
+  burn_alarm expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const burn_case& c) {
+  return out << c.from_minutes << " to " << c.to_minutes << " min, "
+             << c.bad_of_thousand << " bad of 1000";
+}
+
+// The objective is 99.9 %, so one bad of a thousand burns at rate 1.
+const burn_case cases[] = {
+    {60, 0, 0, burn_alarm::none},    {60, 0, 1, burn_alarm::none},
+    {60, 0, 20, burn_alarm::page},   {60, 10, 20, burn_alarm::none},
+    {360, 0, 7, burn_alarm::page},   {360, 0, 3, burn_alarm::none},
+    {4320, 0, 2, burn_alarm::ticket}, {4320, 600, 2, burn_alarm::none},
+};
+
+burn_input input_of(const burn_case& c) {
+  burn_input input;
+  input.objective.availability = 0.999;
+  const auto fill = [&](aged_slices* slices, time_us length, int64_t kept) {
+    for (int64_t age = 0; age < kept; ++age) {
+      const int64_t minutes = age * length / us_per_s / 60;
+      const bool trouble = minutes < c.from_minutes && minutes >= c.to_minutes;
+      service_slice& s = (*slices)[age];
+      s.refused = trouble ? c.bad_of_thousand : 0;
+      s.answered = 1000 - s.refused;
+    }
+  };
+  fill(&input.fine, fine_slice, fine_slices_kept);
+  fill(&input.coarse, coarse_slice, coarse_slices_kept);
+  return input;
+}
+
+BOOST_AUTO_TEST_SUITE(burn_suite)
+
+BOOST_DATA_TEST_CASE(alarms_need_both_windows, data::make(cases), row) {
+  const burn_result burn = burn_of(input_of(row));
+  BOOST_TEST(static_cast<int>(burn.alarm) == static_cast<int>(row.expected));
+}
+
+BOOST_AUTO_TEST_CASE(budget_is_spent_at_rate_one) {
+  const burn_result burn = burn_of(input_of({4320, 0, 1, burn_alarm::none}));
+  BOOST_TEST(burn.budget_left < 0.01);
+  BOOST_TEST(burn.budget_left > -0.01);
+}
+
+BOOST_AUTO_TEST_CASE(imbalance_is_max_over_mean) {
+  BOOST_TEST(imbalance_of({}) == 0.0);
+  BOOST_TEST(imbalance_of({5, 5}) == 1.0);
+  BOOST_TEST(imbalance_of({9, 0, 0}) == 3.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace turmeric
