--- a/packages/coordination/include/turmeric/coordination/control_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/control_core_base.h
@@ -27,10 +27,10 @@
   time_us peers_first = 500 * us_per_ms;    ///< Wait for peers at the start.
   time_us announce = us_per_s;              ///< Longest wait for agreement.
   time_us retry_min = 200 * us_per_ms;      ///< First retry of the platform.
-  time_us retry_max = 5 * us_per_s;         ///< Longest back-off.
+  time_us retry_max = us_per_s;             ///< Longest back-off.
   time_us pull_interval = 300 * us_per_ms;  ///< Between two pulls.
   size_t watchers_per_zone = 2;
-  size_t push_fanout = 3;
+  size_t notify_fanout = 3;
   size_t fragment_bytes = 16 * 1024;  ///< Values in one config_push.
 };
 
@@ -123,6 +123,7 @@
   void send_delta(endpoint to,
                   const config_delta& delta,
                   std::vector<control_action>* out);
+  gossip_message notice() const;
   void learned(time_us now, revision before, std::vector<control_action>* out);
   void bring_into_force(time_us now);
   void publish_if_changed(std::vector<control_action>* out);
--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -66,8 +66,13 @@
   /** Runs the timers. */
   void tick(time_us now, actions* out);
 
+  /** @return The place of the flow's target if its bucket is settled and the
+   * target may get packets, else null. */
+  const target_place* settled_target(time_us now, service_id service,
+                                     flow_id flow) const;
+
   /** @return Flows remembered, hints and records together. */
-  size_t remembered() const { return placements_.size(); }
+  size_t remembered() const { return remembered_; }
 
   /** @return Bytes of control messages sent so far, headers excluded. */
   uint64_t control_bytes() const { return control_bytes_; }
@@ -79,21 +84,17 @@
   struct flow_key {
     service_id service;
     flow_id flow;
-    bool operator==(const flow_key& o) const {
-      return service == o.service && flow == o.flow;
-    }
-  };
-  struct flow_key_hash {
-    size_t operator()(const flow_key& k) const {
-      return hash_pair(k.service.value, k.flow.value);
-    }
   };
+  /** Resolution of the times kept with each flow. */
+  static constexpr time_us compact_tick = 10 * us_per_ms;
+  /** Times are in ticks of compact_tick since the start, to keep it small. */
   struct placement {
     target_id target;
-    bool opened = false;  ///< Placed at its opening; else the default.
-    time_us used = 0;
-    time_us refreshed = 0;  ///< When its owner was last told.
+    uint32_t used = 0;
+    uint32_t refreshed : 31;  ///< When its owner was last told.
+    uint32_t opened : 1;      ///< Placed at its opening; else the default.
   };
+  using flow_map = std::unordered_map<flow_id, placement>;
   /** A balancer to ask or to tell, and whether the message ends there. */
   struct next_owner {
     const member_record* member = nullptr;
@@ -122,6 +123,8 @@
                   target_id current);
   target_id place_new(time_us now, const datagram& m, target_id current);
   bool cold_open_allowed(time_us now, target_id target);
+  uint32_t ticks(time_us now) const;
+  placement* find(const flow_key& key);
   void tell_owner(const flow_key& key, const placement& placed);
   void remember(time_us now,
                 const flow_key& key,
@@ -157,7 +160,8 @@
   member_record self_;
   flow_plants plants_;
   std::shared_ptr<const route_table> table_;
-  std::unordered_map<flow_key, placement, flow_key_hash> placements_;
+  std::unordered_map<service_id, flow_map> placements_;
+  size_t remembered_ = 0;
   std::unordered_map<service_id, bucket_map> moving_;
   std::unordered_map<target_id, time_us> added_;
   std::unordered_map<target_id, double> opened_;
--- a/packages/coordination/src/control_core.cpp
+++ b/packages/coordination/src/control_core.cpp
@@ -57,18 +57,21 @@
   std::vector<control_action> out;
   members_.leave();
   // Tells some members at once; the rest learn by gossip.
-  for (const auto& member : members_.sample(options_.push_fanout)) {
-    gossip_message m;
-    m.kind = gossip_kind::ping;
-    m.from = members_.self();
-    m.known = state_.current();
-    out.emplace_back(gossip_out{member.gossip, std::move(m)});
-  }
+  for (const auto& member : members_.sample(options_.notify_fanout))
+    out.emplace_back(gossip_out{member.gossip, notice()});
   bring_into_force(now);
   publish_if_changed(&out);
   return out;
 }
 
+gossip_message control_core::notice() const {
+  gossip_message m;
+  m.kind = gossip_kind::notice;
+  m.from = members_.self();
+  m.known = state_.current();
+  return m;
+}
+
 void control_core::learned(time_us now,
                            revision before,
                            std::vector<control_action>* out) {
@@ -76,10 +79,10 @@
     return;
   members_.set_known(state_.current());
   pending_.push_back({builder_.build(state_), now + options_.announce});
-  const config_delta delta = state_.since(before);
-  for (const auto& member : members_.sample(options_.push_fanout)) {
+  // Peers pull what they lack, so that each body travels to each node once.
+  for (const auto& member : members_.sample(options_.notify_fanout)) {
     if (members_.known_by(member.id) < state_.current())
-      send_delta(member.gossip, delta, out);
+      out->emplace_back(gossip_out{member.gossip, notice()});
   }
 }
 
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -62,6 +62,19 @@
          announced_move(service, bucket);
 }
 
+const target_place* flow_steering::settled_target(time_us now,
+                                                  service_id service,
+                                                  flow_id flow) const {
+  const auto found = table_->index->buckets.find(service);
+  if (found == table_->index->buckets.end())
+    return nullptr;
+  const uint32_t bucket = found->second->bucket_of(flow);
+  const bool settled = moving_in(service, bucket) == nullptr && !young(now) &&
+                       !announced_move(service, bucket);
+  return settled ? table_->index->find(service, found->second->targets[bucket])
+                 : nullptr;
+}
+
 void flow_steering::steer(time_us now,
                           datagram m,
                           traffic_metrics* metrics,
@@ -81,13 +94,13 @@
     return;
   }
   const flow_key key{m.service, m.flow};
-  const auto known = placements_.find(key);
-  if (known != placements_.end()) {
-    known->second.used = now;
-    const target_id target = known->second.target;
-    if (now - known->second.refreshed > 2 * options_.flow_timeout) {
-      known->second.refreshed = now;
-      tell_owner(key, known->second);
+  if (placement* known = find(key)) {
+    known->used = ticks(now);
+    const target_id target = known->target;
+    const time_us told = static_cast<time_us>(known->refreshed) * compact_tick;
+    if (now - started_ - told > 2 * options_.flow_timeout) {
+      known->refreshed = ticks(now);
+      tell_owner(key, *known);
     }
     note_use(now, m.service, bucket, target);
     send_to_target(now, std::move(m), target, metrics, out);
@@ -157,7 +170,7 @@
     pass_on(std::move(m), owner, metrics, out);
     return;
   }
-  const bool known = placements_.count({m.service, m.inner.flow}) > 0;
+  const bool known = find({m.service, m.inner.flow}) != nullptr;
   // An owner that has not been up for a flow's time-out asks the balancer that
   // owned the bucket before.
   const next_owner before = runner_up(key);
@@ -177,8 +190,8 @@
   if (!(m.asker == self_.peer)) {
     const bool still = moving_in(m.service, bucket) != nullptr || young(now) ||
                        announced_move(m.service, bucket);
-    const auto placed = placements_.find({m.service, m.inner.flow});
-    const bool opened = placed != placements_.end() && placed->second.opened;
+    const placement* placed = find({m.service, m.inner.flow});
+    const bool opened = placed != nullptr && placed->opened;
     const flow_hint hint{m.service, m.inner.flow, target,
                          opened,    still,        table_->index->in_force};
     send(m.asker, packet(hint), sizeof(hint), out);
@@ -191,17 +204,16 @@
                                uint32_t bucket,
                                target_id current) {
   const flow_key key{m.service, m.flow};
-  const auto known = placements_.find(key);
-  if (known != placements_.end()) {
-    known->second.used = now;
-    note_use(now, m.service, bucket, known->second.target);
-    return known->second.target;
+  if (placement* known = find(key)) {
+    known->used = ticks(now);
+    note_use(now, m.service, bucket, known->target);
+    return known->target;
   }
   const moving_bucket* moving = moving_in(m.service, bucket);
   target_id target = current;
   if (m.opens) {
     target = place_new(now, m, current);
-    tell_owner(key, placement{target, true, now, now});
+    tell_owner(key, placement{target, ticks(now), ticks(now), true});
   } else if (moving != nullptr) {
     target = moving->oldest;
     note_use(now, m.service, bucket, target);
@@ -268,18 +280,33 @@
                              const flow_key& key,
                              target_id target,
                              bool opened) {
-  if (placements_.size() >= options_.max_records)
+  if (remembered_ >= options_.max_records)
     return;
-  const auto [it, is_new] =
-      placements_.try_emplace(key, placement{target, opened, now, now});
+  const uint32_t tick = ticks(now);
+  const auto [it, is_new] = placements_[key.service].try_emplace(
+      key.flow, placement{target, tick, tick, opened});
+  placement& placed = it->second;
+  remembered_ += is_new ? 1 : 0;
   // An opening goes before a default, which was decided without knowing of it;
   // among openings the first one stands.
-  if (!is_new && opened && !it->second.opened) {
-    it->second.target = target;
-    it->second.opened = true;
+  if (!is_new && opened && !placed.opened) {
+    placed.target = target;
+    placed.opened = true;
   }
-  it->second.used = now;
-  it->second.refreshed = now;
+  placed.used = tick;
+  placed.refreshed = tick;
+}
+
+uint32_t flow_steering::ticks(time_us now) const {
+  return static_cast<uint32_t>((now - started_) / compact_tick);
+}
+
+flow_steering::placement* flow_steering::find(const flow_key& key) {
+  const auto flows = placements_.find(key.service);
+  if (flows == placements_.end())
+    return nullptr;
+  const auto it = flows->second.find(key.flow);
+  return it == flows->second.end() ? nullptr : &it->second;
 }
 
 void flow_steering::tell_owner(const flow_key& key, const placement& placed) {
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -129,29 +129,33 @@
 void flow_steering::hand_over() {
   if (std::exchange(handed_over_, true))
     return;
-  for (const auto& [key, placed] : placements_)
-    tell_owner(key, placed);
+  for (const auto& [service, flows] : placements_) {
+    for (const auto& [flow, placed] : flows)
+      tell_owner({service, flow}, placed);
+  }
 }
 
 void flow_steering::tell_new_owners(const route_table& before) {
   std::map<std::pair<service_id, uint32_t>, bool> changed;
-  for (const auto& [key, placed] : placements_) {
-    const auto buckets = table_->index->buckets.find(key.service);
+  for (const auto& [service, flows] : placements_) {
+    const auto buckets = table_->index->buckets.find(service);
     if (buckets == table_->index->buckets.end())
       continue;
-    const uint32_t bucket = buckets->second->bucket_of(key.flow);
-    const auto [it, is_new] = changed.try_emplace({key.service, bucket}, false);
-    if (is_new) {
-      const uint64_t owner_key = hash_pair(key.service.value, bucket);
-      const member_record* old = owner_contact(before, owner_key);
-      const member_record* now = owner_contact(*table_, owner_key);
-      const bool same = old != nullptr && now != nullptr &&
-                        old->id == now->id &&
-                        old->incarnation == now->incarnation;
-      it->second = !same;
+    for (const auto& [flow, placed] : flows) {
+      const uint32_t bucket = buckets->second->bucket_of(flow);
+      const auto [it, is_new] = changed.try_emplace({service, bucket}, false);
+      if (is_new) {
+        const uint64_t key = hash_pair(service.value, bucket);
+        const member_record* old = owner_contact(before, key);
+        const member_record* now = owner_contact(*table_, key);
+        const bool same = old != nullptr && now != nullptr &&
+                          old->id == now->id &&
+                          old->incarnation == now->incarnation;
+        it->second = !same;
+      }
+      if (it->second)
+        tell_owner({service, flow}, placed);
     }
-    if (it->second)
-      tell_owner(key, placed);
   }
 }
 
@@ -300,10 +304,15 @@
 }
 
 void flow_steering::forget_old(time_us now) {
-  for (auto it = placements_.begin(); it != placements_.end();) {
-    const bool old =
-        now - it->second.used > record_lifetimes * options_.flow_timeout;
-    it = old ? placements_.erase(it) : std::next(it);
+  const uint32_t lifetime = static_cast<uint32_t>(
+      record_lifetimes * options_.flow_timeout / compact_tick);
+  const uint32_t now_ticks = ticks(now);
+  for (auto& [service, flows] : placements_) {
+    for (auto it = flows.begin(); it != flows.end();) {
+      const bool old = now_ticks - it->second.used > lifetime;
+      it = old ? flows.erase(it) : std::next(it);
+      remembered_ -= old ? 1 : 0;
+    }
   }
   for (auto& [service, buckets] : moving_) {
     for (auto it = buckets.begin(); it != buckets.end();) {
--- a/packages/state/include/turmeric/state/member_type.h
+++ b/packages/state/include/turmeric/state/member_type.h
@@ -43,6 +43,7 @@
   ping_request,  ///< Asks the receiver to probe `subject`.
   sync_request,  ///< Asks for all members and the configuration.
   sync_reply,
+  notice,       ///< Tells of the sender's state and newest revision.
   config_pull,  ///< Asks for entries after `known`.
   config_push,
   end
