--- a/packages/coordination/include/turmeric/coordination/membership_base.h
+++ b/packages/coordination/include/turmeric/coordination/membership_base.h
@@ -23,7 +23,7 @@
   time_us suspicion = 1200 * us_per_ms;
   time_us tombstone = 600 * us_per_s;  ///< Dead members are kept this long.
   size_t contacts_per_zone = 4;        ///< Known members of another zone.
-  size_t updates_per_message = 8;
+  size_t updates_per_message = 5;
   size_t indirect_probes = 3;
   uint64_t join_intervals = 15;      ///< Intervals that count as joining.
   size_t join_fanout = 3;            ///< Seeds asked an interval while joining.
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -99,15 +99,17 @@
 
 void flow_steering::on(time_us now, flow_records m, actions* out) {
   const auto buckets = table_->index->buckets.find(m.service);
+  // Records reach a balancer that started before its configuration does.
+  const bool known = buckets != table_->index->buckets.end();
   const size_t count =
       std::min({m.flows.size(), m.targets.size(), m.opened.size()});
-  if (buckets == table_->index->buckets.end())
-    return;
   std::map<endpoint, flow_records> elsewhere;
   for (size_t i = 0; i < count; ++i) {
-    const uint32_t bucket = buckets->second->bucket_of(m.flows[i]);
-    const member_record* owner =
-        table_->owner_in_zone(hash_pair(m.service.value, bucket), 0);
+    const member_record* owner = nullptr;
+    if (known) {
+      const uint32_t bucket = buckets->second->bucket_of(m.flows[i]);
+      owner = table_->owner_in_zone(hash_pair(m.service.value, bucket), 0);
+    }
     const bool mine = m.here || owner == nullptr || owner->id == self_.id;
     if (mine || m.hops >= options_.max_hops) {
       remember(now, {m.service, m.flows[i]}, m.targets[i], m.opened[i]);
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -16,7 +16,7 @@
 /** Members in one sync reply; more follow by piggyback. */
 constexpr size_t sync_members = 128;
 /** Factor on the logarithm of the zone's size. */
-constexpr unsigned transmission_factor = 3;
+constexpr unsigned transmission_factor = 2;
 /** Indirect probing gets this many further probe timeouts. */
 constexpr int indirect_timeouts = 2;
 
--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -96,6 +96,11 @@
 
 void traffic_core::on(time_us now, permit_request m, actions* out) {
   const auto found = table_->index->services.find(m.service);
+  // Without a configuration nothing can be said of a service.
+  if (table_->index->in_force == 0) {
+    forward(std::move(m), table_->any_peer(random_()), out);
+    return;
+  }
   if (found == table_->index->services.end()) {
     answer_at_once(m, result_code::refused_unknown_service,
                    options_.no_target_retry, out);
--- a/packages/coordination/src/traffic_core_internal.h
+++ b/packages/coordination/src/traffic_core_internal.h
@@ -39,6 +39,9 @@
   const bool own_past =
       right.home == self_.id && right.incarnation < self_.incarnation;
   const bool ended = died || replaced || own_past;
+  // A balancer that started does not know all members; another one may.
+  if (issuer == nullptr)
+    issuer = table_->any_peer(random_());
   if (!ended) {
     forward(std::move(*m), issuer, out);
     return true;
--- a/packages/state/include/turmeric/state/route_base.h
+++ b/packages/state/include/turmeric/state/route_base.h
@@ -91,6 +91,9 @@
   /** @return The record of @p id, or null. */
   const member_record* find_member(member_id id) const;
 
+  /** @return Some usable member but this one, chosen by @p key, or null. */
+  const member_record* any_peer(uint64_t key) const;
+
   /** @return The @p rank-th best usable member of the own zone for @p key, or
    * null. Rank 0 owns what the key names, rank 1 would own it next. */
   const member_record* owner_in_zone(uint64_t key, size_t rank) const;
--- a/packages/state/src/route.cpp
+++ b/packages/state/src/route.cpp
@@ -198,6 +198,12 @@
   });
 }
 
+const member_record* route_table::any_peer(uint64_t key) const {
+  return best_member(members, key, [&](const member_record& m) {
+    return m.id != self.id && is_usable(m);
+  });
+}
+
 const member_record* route_table::usable_contact_in(zone_id zone,
                                                     uint64_t key) const {
   return best_member(members, key, [&](const member_record& m) {
