--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -68,15 +68,18 @@
 
   /** @return The place of the flow's target if its bucket is settled and the
    * target may get packets, else null. */
-  const target_place* settled_target(time_us now, service_id service,
-                                     flow_id flow) const;
+  const target_place* settled_target(service_id service, flow_id flow) const;
 
   /** @return Flows remembered, hints and records together. */
   size_t remembered() const { return remembered_; }
 
-  /** @return Bytes of control messages sent so far, headers excluded. */
+  /** @return Bytes of records, notes and lists sent so far, without headers. */
   uint64_t control_bytes() const { return control_bytes_; }
 
+  /** @return Bytes of hints sent so far, without headers: one for each flow
+   * that a balancer asked about. */
+  uint64_t hint_bytes() const { return hint_bytes_; }
+
   /** @return Whether this balancer holds the bucket of @p flow as moving. */
   bool moving(service_id service, flow_id flow) const;
 
@@ -117,6 +120,7 @@
   bool young(time_us now) const;
   const moving_bucket* moving_in(service_id service, uint32_t bucket) const;
   bool announced_move(service_id service, uint32_t bucket) const;
+  bool in_motion(service_id service, uint32_t bucket) const;
   target_id place(time_us now,
                   const datagram& m,
                   uint32_t bucket,
@@ -173,6 +177,7 @@
   time_us next_flush_ = 0;
   time_us next_forget_ = 0;
   uint64_t control_bytes_ = 0;
+  uint64_t hint_bytes_ = 0;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -28,7 +28,7 @@
     : options_(options), self_(std::move(self)), plants_(plants) {}
 
 bool flow_steering::young(time_us now) const {
-  return !synced_ || now - started_ < options_.flow_timeout;
+  return now - started_ < options_.flow_timeout;
 }
 
 const flow_steering::moving_bucket* flow_steering::moving_in(
@@ -41,6 +41,11 @@
   return it == found->second.end() ? nullptr : &it->second;
 }
 
+bool flow_steering::in_motion(service_id service, uint32_t bucket) const {
+  return !synced_ || moving_in(service, bucket) != nullptr ||
+         announced_move(service, bucket);
+}
+
 bool flow_steering::announced_move(service_id service, uint32_t bucket) const {
   if (table_->announced == table_->index)
     return false;
@@ -57,20 +62,16 @@
   const auto found = table_->index->buckets.find(service);
   if (found == table_->index->buckets.end())
     return false;
-  const uint32_t bucket = found->second->bucket_of(flow);
-  return moving_in(service, bucket) != nullptr ||
-         announced_move(service, bucket);
+  return in_motion(service, found->second->bucket_of(flow));
 }
 
-const target_place* flow_steering::settled_target(time_us now,
-                                                  service_id service,
+const target_place* flow_steering::settled_target(service_id service,
                                                   flow_id flow) const {
   const auto found = table_->index->buckets.find(service);
   if (found == table_->index->buckets.end())
     return nullptr;
   const uint32_t bucket = found->second->bucket_of(flow);
-  const bool settled = moving_in(service, bucket) == nullptr && !young(now) &&
-                       !announced_move(service, bucket);
+  const bool settled = !in_motion(service, bucket);
   return settled ? table_->index->find(service, found->second->targets[bucket])
                  : nullptr;
 }
@@ -87,8 +88,7 @@
   const bucket_table& buckets = *found->second;
   const uint32_t bucket = buckets.bucket_of(m.flow);
   const target_id current = buckets.targets[bucket];
-  const bool settled = moving_in(m.service, bucket) == nullptr && !young(now) &&
-                       !announced_move(m.service, bucket);
+  const bool settled = !in_motion(m.service, bucket);
   if (settled || plants_.forget_moving) {
     send_to_target(now, std::move(m), current, metrics, out);
     return;
@@ -100,7 +100,8 @@
     const time_us told = static_cast<time_us>(known->refreshed) * compact_tick;
     if (now - started_ - told > 2 * options_.flow_timeout) {
       known->refreshed = ticks(now);
-      tell_owner(key, *known);
+      if (known->opened)
+        tell_owner(key, *known);
     }
     note_use(now, m.service, bucket, target);
     send_to_target(now, std::move(m), target, metrics, out);
@@ -174,7 +175,8 @@
   // An owner that has not been up for a flow's time-out asks the balancer that
   // owned the bucket before.
   const next_owner before = runner_up(key);
-  const bool ask = !known && !m.last && !m.inner.opens && young(now);
+  const bool unsure = !synced_ || (young(now) && in_motion(m.service, bucket));
+  const bool ask = !known && !m.last && !m.inner.opens && unsure;
   if (ask && before.member != nullptr) {
     m.last = true;
     m.here = before.here;
@@ -188,13 +190,13 @@
   const target_id target =
       place(now, m.inner, bucket, found->second->targets[bucket]);
   if (!(m.asker == self_.peer)) {
-    const bool still = moving_in(m.service, bucket) != nullptr || young(now) ||
-                       announced_move(m.service, bucket);
+    const bool still = in_motion(m.service, bucket);
     const placement* placed = find({m.service, m.inner.flow});
     const bool opened = placed != nullptr && placed->opened;
     const flow_hint hint{m.service, m.inner.flow, target,
                          opened,    still,        table_->index->in_force};
-    send(m.asker, packet(hint), sizeof(hint), out);
+    hint_bytes_ += sizeof(hint);
+    send(m.asker, packet(hint), 0, out);
   }
   send_to_target(now, std::move(m.inner), target, metrics, out);
 }
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -12,7 +12,7 @@
 constexpr size_t record_bytes = sizeof(flow_id) + sizeof(target_id);
 constexpr size_t note_bytes = sizeof(uint32_t) + sizeof(target_id);
 /** Records outlive the time after which balancers tell of them again. */
-constexpr int record_lifetimes = 4;
+constexpr uint32_t record_lifetimes = 4;
 /** Records in one copy; keeps the datagram below the usual path MTU. */
 constexpr size_t records_per_copy = 64;
 
@@ -132,8 +132,10 @@
   if (std::exchange(handed_over_, true))
     return;
   for (const auto& [service, flows] : placements_) {
-    for (const auto& [flow, placed] : flows)
-      tell_owner({service, flow}, placed);
+    for (const auto& [flow, placed] : flows) {
+      if (placed.opened)
+        tell_owner({service, flow}, placed);
+    }
   }
 }
 
@@ -145,6 +147,8 @@
       continue;
     for (const auto& [flow, placed] : flows) {
       const uint32_t bucket = buckets->second->bucket_of(flow);
+      if (!placed.opened || !in_motion(service, bucket))
+        continue;
       const auto [it, is_new] = changed.try_emplace({service, bucket}, false);
       if (is_new) {
         const uint64_t key = hash_pair(service.value, bucket);
@@ -306,11 +310,15 @@
 }
 
 void flow_steering::forget_old(time_us now) {
-  const uint32_t lifetime = static_cast<uint32_t>(
-      record_lifetimes * options_.flow_timeout / compact_tick);
+  // A default can be worked out again; only openings must be remembered until
+  // some balancer tells of them again.
+  const auto short_life =
+      static_cast<uint32_t>(options_.flow_timeout / compact_tick);
   const uint32_t now_ticks = ticks(now);
   for (auto& [service, flows] : placements_) {
     for (auto it = flows.begin(); it != flows.end();) {
+      const uint32_t lifetime =
+          it->second.opened ? record_lifetimes * short_life : short_life;
       const bool old = now_ticks - it->second.used > lifetime;
       it = old ? flows.erase(it) : std::next(it);
       remembered_ -= old ? 1 : 0;
