--- a/packages/coordination/include/turmeric/coordination/traffic_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/traffic_core_base.h
@@ -36,6 +36,9 @@
   size_t max_kept_bytes = 64 << 20;  ///< Answers kept for retransmission.
   size_t max_attempts = 1 << 20;     ///< Permits remembered at once.
   uint8_t max_hops = 4;
+  time_us load_sample = 50 * us_per_ms;    ///< Between samples of a load.
+  time_us load_interval = 500 * us_per_ms; ///< Between reports of loads.
+  size_t flow_choices = 3;  ///< Targets compared for a new flow; 1 for none.
   time_us no_target_retry = 500 * us_per_ms;
   gate_options gate;
   flow_options flows;
@@ -49,6 +52,7 @@
   bool ignore_zone_out = false;  ///< Sends work to withdrawn zones.
   bool ignore_drain = false;     ///< Sends new work to draining targets.
   bool no_ramp = false;          ///< Loads a cold target fully.
+  bool no_limit = false;         ///< Starts everything at once.
   bool drop_on_stop = false;     ///< Forgets running work when stopping.
   bool mix_answers = false;      ///< Answers with another request's body.
   flow_plants flows;
@@ -140,6 +144,7 @@
   void on(time_us now, const permit_grant& m, actions* out);
   void on(time_us now, const answer_part& m, actions* out);
   void on(time_us now, const request_pending& m, actions* out);
+  void on(time_us now, const load_report& m, actions* out);
 
   template <typename Message>
   void forward(Message m, const member_record* to, actions* out);
@@ -179,6 +184,10 @@
   void pump(time_us now, target_id target, actions* out);
   void pump_all(time_us now, actions* out);
   void forget_old(time_us now);
+  void sample_loads(time_us now, actions* out);
+  void report_loads(actions* out);
+  const target_config* less_loaded(const service_config& service, flow_id flow,
+                                   const target_config* chosen);
   void refuse_waiting(time_us now,
                       target_gate* gate,
                       result_code code,
@@ -201,6 +210,9 @@
   std::map<target_id, target_gate> gates_;
   std::set<uint64_t> running_;  ///< Serials of started requests.
   std::map<target_id, time_us> drained_at_;
+  std::unordered_map<target_id, double> loads_;  ///< Own and reported ones.
+  time_us next_sample_ = 0;
+  time_us next_report_ = 0;
   traffic_metrics metrics_;
   flow_steering flows_;
   uint64_t next_serial_ = 1;
--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -112,7 +112,15 @@
                    out);
     return;
   }
+  m.fresh = m.fresh || m.previous != target->id;
   m.previous = target->id;
+  const bool at_home = target->zone == self_.zone &&
+                       table_->home_of(*target) == self_.id;
+  if (at_home && m.fresh) {
+    target = less_loaded(*found->second, m.flow, target);
+    m.previous = target->id;
+    m.fresh = false;
+  }
   if (target->zone != self_.zone) {
     forward(std::move(m), table_->contact_in(target->zone, target->id.value),
             out);
@@ -237,6 +245,7 @@
   pump_all(now, &out);
   cancel_overdue(now, &out);
   flows_.tick(now, &out);
+  sample_loads(now, &out);
   forget_old(now);
   return out;
 }
--- a/packages/coordination/src/traffic_core_run.cpp
+++ b/packages/coordination/src/traffic_core_run.cpp
@@ -187,6 +187,10 @@
     return it->second;
   gate_options options = options_.gate;
   options.slots = slots;
+  if (plants_.no_limit)
+    options.slots = slots * 1000;
+  if (plants_.no_limit)
+    options.warm_level = 0;
   if (plants_.no_ramp) {
     options.slots = slots * 4;
     options.warm_level = 0;
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -39,7 +39,8 @@
                 m.request,
                 m.previous,
                 m.reply_to,
-                m.hops)
+                m.hops,
+                m.fresh)
 TURMERIC_FIELDS(permit_grant, m.service, m.flow, m.request, m.granted)
 TURMERIC_FIELDS(run_request,
                 m.service,
@@ -98,6 +99,7 @@
 TURMERIC_FIELDS(moving_pull, m.asker)
 TURMERIC_FIELDS(moving_list, m.in_force, m.services)
 TURMERIC_FIELDS(request_pending, m.service, m.request, m.serial, m.nonce)
+TURMERIC_FIELDS(load_report, m.service, m.targets, m.loads)
 TURMERIC_FIELDS(config_entry, m.key, m.value, m.changed)
 TURMERIC_FIELDS(config_delta, m.format, m.from, m.to, m.entries)
 TURMERIC_FIELDS(member_record,
--- a/packages/state/include/turmeric/state/message_type.h
+++ b/packages/state/include/turmeric/state/message_type.h
@@ -48,6 +48,7 @@
   target_id previous;  ///< Target of the flow so far; invalid if none.
   endpoint reply_to;   ///< Set by the first balancer.
   uint8_t hops = 0;
+  bool fresh = false;  ///< A balancer chose `previous`; its home may choose anew.
 };
 
 /** Answers a permit_request. */
@@ -113,6 +114,13 @@
   uint8_t hops = 0;
 };
 
+/** Tells homes of a service's other targets how loaded some targets are. */
+struct load_report {
+  service_id service;
+  std::vector<target_id> targets;
+  std::vector<uint32_t> loads;  ///< Thousandths of a request in hand.
+};
+
 /** A packet of an opaque flow. */
 struct datagram {
   service_id service;
@@ -186,7 +194,8 @@
                             bucket_notes,
                             moving_pull,
                             moving_list,
-                            request_pending>;
+                            request_pending,
+                            load_report>;
 
 }  // namespace turmeric
 
--- a/tests/harness/sim_balancer.cpp
+++ b/tests/harness/sim_balancer.cpp
@@ -31,8 +31,9 @@
   return o;
 }
 
-traffic_options make_traffic_options() {
+traffic_options make_traffic_options(const sim_options& sim) {
   traffic_options o;
+  o.flow_choices = sim.flow_choices;
   o.flows.flow_timeout = 2 * us_per_s;
   o.flows.note_interval = 500 * us_per_ms;
   return o;
@@ -73,7 +74,7 @@
   const random_source source = [this] { return random(); };
   b.control =
       std::make_unique<control_core>(make_control_options(), self, source);
-  b.traffic = std::make_unique<traffic_core>(make_traffic_options(), self,
+  b.traffic = std::make_unique<traffic_core>(make_traffic_options(options_), self,
                                              source, options_.plants);
   tick_control(number, b.generation);
   tick_traffic(number, b.generation);
--- a/tests/harness/sim_caller.cpp
+++ b/tests/harness/sim_caller.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr time_us caller_tick = 20 * us_per_ms;
-constexpr time_us request_pause = 120 * us_per_ms;
 constexpr time_us packet_pause = 80 * us_per_ms;
 constexpr time_us first_request = 1500 * us_per_ms;
 constexpr time_us fabric_lag = us_per_s;
@@ -23,11 +22,17 @@
     callers_.push_back(std::make_unique<caller>());
     caller& c = *callers_.back();
     c.number = i;
-    c.core = std::make_unique<caller_core>(caller_options{},
-                                           [this] { return random(); });
+    caller_options caller;
+    if (options_.naive_caller) {
+      caller.heed_retry_after = false;
+      caller.retry_burst = 1e9;
+    }
+    c.core =
+        std::make_unique<caller_core>(caller, [this] { return random(); });
     const auto offset = static_cast<time_us>(random() % 500000);
     clock_.after(first_request + offset, [this, i] { next_request(i); });
-    clock_.after(first_request + offset, [this, i] { next_packet(i); });
+    if (options_.opaque)
+      clock_.after(first_request + offset, [this, i] { next_packet(i); });
     tick_caller(i);
   }
 }
@@ -38,26 +43,38 @@
   clock_.after(caller_tick, [this, number] { tick_caller(number); });
 }
 
+uint64_t sim_world::pick_flow() {
+  // Cubing a uniform number makes a few flows much busier than the rest.
+  const double u = static_cast<double>(random() >> 11) / 9007199254740992.0;
+  return static_cast<uint64_t>(u * u * u * options_.flow_pool);
+}
+
 void sim_world::next_request(int number) {
   if (quiet_)
     return;
   caller& c = *callers_[static_cast<size_t>(number)];
   caller_request r;
   const uint64_t id = ++next_request_;
-  const std::string service = random() % 4 == 0 ? "club/archive" : "club/notes";
+  const bool archive = options_.flow_pool == 0 && random() % 4 == 0;
+  const std::string service = archive ? "club/archive" : "club/notes";
   r.id = request_id{id};
   r.service = id_of<service_id>(service);
   r.flow = flow_id{hash_pair(static_cast<uint64_t>(number), id / 40)};
+  if (options_.flow_pool > 0)
+    r.flow = flow_id{pick_flow()};
   r.repeatable = random() % 2 == 0;
-  r.work = random() % 4 == 0 ? work_class::bulk : work_class::interactive;
+  r.work = chance(options_.bulk_percent) ? work_class::bulk
+                                         : work_class::interactive;
   r.body = service;
   r.deadline = clock_.now() + request_time;
   c.sent[id] = r;
   execute(c, c.core->submit(clock_.now(), r));
   if (random() % 40 == 0)
     execute(c, c.core->cancel(clock_.now(), r.id));
-  const auto jitter = static_cast<time_us>(random() % request_pause);
-  clock_.after(request_pause + jitter,
+  const time_us pause = options_.request_pause;
+  const auto jitter =
+      static_cast<time_us>(random() % static_cast<uint64_t>(pause));
+  clock_.after(pause + jitter,
                [this, number] { next_request(number); });
 }
 
@@ -152,7 +169,9 @@
   e.service = r.body;
   e.repeatable = r.repeatable;
   e.code = result.code;
+  e.submitted = r.deadline - request_time;
   e.deadline = r.deadline;
+  e.interactive = r.work == work_class::interactive;
   e.whole = result.body == expected_answer(result.id.value, r.body);
   record(e);
 }
--- a/tests/harness/sim_types.h
+++ b/tests/harness/sim_types.h
@@ -40,7 +40,9 @@
   std::string target_name;
   std::string service;      ///< Of the request or packet.
   std::string own_service;  ///< Of the target.
-  time_us deadline = 0;     ///< Of a request.
+  time_us submitted = 0;    ///< Of a request.
+  time_us deadline = 0;
+  bool interactive = false;
   revision number = 0;
   uint64_t content = 0;  ///< Hash of a configuration.
   std::vector<config_entry> entries;
@@ -97,6 +99,13 @@
   uint32_t duplicate_percent = 0;
   time_us max_jitter = 2 * us_per_ms;
   time_us length = 18 * us_per_s;
+  time_us request_pause = 120 * us_per_ms;  ///< Of a caller, at the least.
+  int notes_targets = 6;
+  int flow_pool = 0;   ///< Flows with heavy-tailed rates; 0 for short ones.
+  bool opaque = true;  ///< Whether callers have opaque flows as well.
+  bool naive_caller = false;  ///< Retries at once and without a budget.
+  size_t flow_choices = 3;
+  uint32_t bulk_percent = 25;
   traffic_plants plants;
   bool plant_stuck = false;  ///< Balancer 0 keeps its first revision.
 };
--- a/tests/harness/sim_world.h
+++ b/tests/harness/sim_world.h
@@ -134,6 +134,7 @@
   bool fabric_avoids(const balancer& b) const;
   void start_callers();
   void next_request(int number);
+  uint64_t pick_flow();
   void next_packet(int number);
   void tick_caller(int number);
   void execute(caller& c, std::vector<caller_action> actions);
