--- a/apps/turmericstream/declare_cli.cpp
+++ b/apps/turmericstream/declare_cli.cpp
@@ -96,6 +96,17 @@
   fmt::print("{}\n", json_text(v));
 }
 
+/** Reads the state and plans all accounts on it. */
+result<change_plan> plan_now(const cli_options& options) {
+  auto state = read_state(platform_hooks(options));
+  if (!state)
+    return boost::outcome_v2::failure(state.error());
+  auto plan = plan_all(options, state.value());
+  if (plan)
+    print_plan(options, plan.value());
+  return plan;
+}
+
 }  // namespace
 
 operator_hooks platform_hooks(const cli_options& options) {
@@ -136,24 +147,16 @@
 }
 
 result<void> run_plan(const cli_options& options) {
-  auto state = read_state(platform_hooks(options));
-  if (!state)
-    return boost::outcome_v2::failure(state.error());
-  auto plan = plan_all(options, state.value());
+  auto plan = plan_now(options);
   if (!plan)
     return boost::outcome_v2::failure(plan.error());
-  print_plan(options, plan.value());
   return boost::outcome_v2::success();
 }
 
 result<void> run_apply(const cli_options& options) {
-  auto state = read_state(platform_hooks(options));
-  if (!state)
-    return boost::outcome_v2::failure(state.error());
-  auto plan = plan_all(options, state.value());
+  auto plan = plan_now(options);
   if (!plan)
     return boost::outcome_v2::failure(plan.error());
-  print_plan(options, plan.value());
   if (plan.value().entries.empty())
     return boost::outcome_v2::success();
   auto committed =
--- a/bench/bench_state.cpp
+++ b/bench/bench_state.cpp
@@ -73,32 +73,40 @@
   return m;
 }
 
-/** Flows remembered by one balancer while a bucket moves. */
+/** Bytes of a flow that one balancer remembers while its bucket moves. */
 double bytes_per_flow(size_t flows) {
-  const config_state state = make_state(per_service, per_service, 1);
+  config_state state = make_state(per_service, per_service, 1);
   index_builder builder;
-  const auto table = make_table(builder.build(state), 1, 0);
-  const service_id service = table->index->services.begin()->first;
+  const auto before = make_table(builder.build(state), 1, 0);
+  const auto& service = *before->index->services.begin()->second;
+  change drain;
+  drain.number = 2;
+  const std::string key =
+      make_key(key_kind::target_drain, service.targets.front().name);
+  drain.entries.push_back({key, "1", 0});
+  state.apply(drain);
+  const auto after = make_table(builder.build(state), 1, 0);
   flow_options options;
   options.lone_start = 0;
-  options.max_records = flows;
-  const double before = allocated_bytes();
-  flow_steering steering(options, table->self, {});
+  flow_steering steering(options, before->self, {});
   traffic_metrics metrics;
   std::vector<traffic_action> out;
-  steering.routes(0, table);
+  steering.routes(0, before);
   steering.tick(1, &out);
+  steering.routes(2, after);
   std::mt19937_64 random(1);
-  for (size_t i = 0; i < flows; ++i) {
-    datagram m = packet_of(service, random());
+  const double bytes_before = allocated_bytes();
+  for (time_us now = 3; steering.remembered() < flows; ++now) {
+    datagram m = packet_of(service.id, random());
     m.opens = true;
-    steering.steer(2, std::move(m), &metrics, &out);
+    steering.steer(now, std::move(m), &metrics, &out);
     out.clear();
-    if (i % 1000 == 0)
-      steering.tick(static_cast<time_us>(i) * 100, &out);
+    if (now % 1000 == 0)
+      steering.tick(now, &out);
   }
-  out.shrink_to_fit();
-  return (allocated_bytes() - before) / static_cast<double>(flows);
+  steering.tick(us_per_s, &out);
+  out = {};
+  return (allocated_bytes() - bytes_before) / static_cast<double>(flows);
 }
 
 /** Decisions a second on settled buckets, and bare look-ups beside them. */
--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -80,9 +81,6 @@
    * that a balancer asked about. */
   uint64_t hint_bytes() const { return hint_bytes_; }
 
-  /** @return Whether this balancer holds the bucket of @p flow as moving. */
-  bool moving(service_id service, flow_id flow) const;
-
  private:
   struct flow_key {
     service_id service;
@@ -98,6 +96,12 @@
     uint32_t opened : 1;      ///< Placed at its opening; else the default.
   };
   using flow_map = std::unordered_map<flow_id, placement>;
+  /** Where a flow's bucket stands. */
+  struct bucket_place {
+    uint32_t bucket = 0;
+    target_id current;
+    bool in_motion = false;
+  };
   /** A balancer to ask or to tell, and whether the message ends there. */
   struct next_owner {
     const member_record* member = nullptr;
@@ -121,6 +125,7 @@
   const moving_bucket* moving_in(service_id service, uint32_t bucket) const;
   bool announced_move(service_id service, uint32_t bucket) const;
   bool in_motion(service_id service, uint32_t bucket) const;
+  std::optional<bucket_place> place_of(service_id service, flow_id flow) const;
   target_id place(time_us now,
                   const datagram& m,
                   uint32_t bucket,
--- a/packages/coordination/src/flow_steering.cpp
+++ b/packages/coordination/src/flow_steering.cpp
@@ -58,39 +58,36 @@
   return next->second->targets[bucket] != now->second->targets[bucket];
 }
 
-bool flow_steering::moving(service_id service, flow_id flow) const {
+std::optional<flow_steering::bucket_place> flow_steering::place_of(
+    service_id service,
+    flow_id flow) const {
   const auto found = table_->index->buckets.find(service);
   if (found == table_->index->buckets.end())
-    return false;
-  return in_motion(service, found->second->bucket_of(flow));
+    return std::nullopt;
+  const uint32_t bucket = found->second->bucket_of(flow);
+  return bucket_place{bucket, found->second->targets[bucket],
+                      in_motion(service, bucket)};
 }
 
 const target_place* flow_steering::settled_target(service_id service,
                                                   flow_id flow) const {
-  const auto found = table_->index->buckets.find(service);
-  if (found == table_->index->buckets.end())
-    return nullptr;
-  const uint32_t bucket = found->second->bucket_of(flow);
-  const bool settled = !in_motion(service, bucket);
-  return settled ? table_->index->find(service, found->second->targets[bucket])
-                 : nullptr;
+  const auto place = place_of(service, flow);
+  const bool settled = place && !place->in_motion;
+  return settled ? table_->index->find(service, place->current) : nullptr;
 }
 
 void flow_steering::steer(time_us now,
                           datagram m,
                           traffic_metrics* metrics,
                           actions* out) {
-  const auto found = table_->index->buckets.find(m.service);
-  if (found == table_->index->buckets.end()) {
+  const auto found = place_of(m.service, m.flow);
+  if (!found) {
     metrics->count(result_code::refused_unknown_service);
     return;
   }
-  const bucket_table& buckets = *found->second;
-  const uint32_t bucket = buckets.bucket_of(m.flow);
-  const target_id current = buckets.targets[bucket];
-  const bool settled = !in_motion(m.service, bucket);
-  if (settled || plants_.forget_moving) {
-    send_to_target(now, std::move(m), current, metrics, out);
+  const uint32_t bucket = found->bucket;
+  if (!found->in_motion || plants_.forget_moving) {
+    send_to_target(now, std::move(m), found->current, metrics, out);
     return;
   }
   const flow_key key{m.service, m.flow};
@@ -157,12 +154,12 @@
                        flow_query m,
                        traffic_metrics* metrics,
                        actions* out) {
-  const auto found = table_->index->buckets.find(m.service);
-  if (found == table_->index->buckets.end()) {
+  const auto found = place_of(m.service, m.inner.flow);
+  if (!found) {
     metrics->count(result_code::refused_unknown_service);
     return;
   }
-  const uint32_t bucket = found->second->bucket_of(m.inner.flow);
+  const uint32_t bucket = found->bucket;
   const uint64_t key = owner_key(m.service, bucket);
   const member_record* owner =
       m.last ? table_->owner_in_zone(key, 0) : owner_contact(*table_, key);
@@ -175,7 +172,7 @@
   // An owner that has not been up for a flow's time-out asks the balancer that
   // owned the bucket before.
   const next_owner before = runner_up(key);
-  const bool unsure = !synced_ || (young(now) && in_motion(m.service, bucket));
+  const bool unsure = !synced_ || (young(now) && found->in_motion);
   const bool ask = !known && !m.last && !m.inner.opens && unsure;
   if (ask && before.member != nullptr) {
     m.last = true;
@@ -187,14 +184,12 @@
     metrics->count(result_code::no_route);
     return;
   }
-  const target_id target =
-      place(now, m.inner, bucket, found->second->targets[bucket]);
+  const target_id target = place(now, m.inner, bucket, found->current);
   if (!(m.asker == self_.peer)) {
-    const bool still = in_motion(m.service, bucket);
     const placement* placed = find({m.service, m.inner.flow});
     const bool opened = placed != nullptr && placed->opened;
-    const flow_hint hint{m.service, m.inner.flow, target,
-                         opened,    still,        table_->index->in_force};
+    const flow_hint hint{m.service, m.inner.flow,     target,
+                         opened,    found->in_motion, table_->index->in_force};
     hint_bytes_ += sizeof(hint);
     send(m.asker, packet(hint), 0, out);
   }
--- a/packages/transport/src/control_runner.cpp
+++ b/packages/transport/src/control_runner.cpp
@@ -182,8 +182,13 @@
   if (!bound)
     return bound;
   impl* i = impl_.get();
+  // The argument is passed to CAF rather than captured: without any, CAF 0.17
+  // binds a reference to an empty pointer.
   i->actor = i->system.spawn<caf::detached>(
-      [i](caf::event_based_actor* self) { return i->make_behavior(self); });
+      [](caf::event_based_actor* self, impl* own) {
+        return own->make_behavior(self);
+      },
+      i);
   i->socket.start([i](endpoint from, const char* data, size_t size) {
     i->on_datagram(from, data, size);
   });
--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -52,12 +52,12 @@
 BOOST_AUTO_TEST_CASE(silent_flow_is_found) {
   history events = {packet_at(0, event_kind::packet_in, 1, true)};
   for (int i = 1; i < 20; ++i) {
-    events.push_back(packet_at(i * 200 * us_per_ms, event_kind::packet_sent, -1,
-                               false));
+    events.push_back(
+        packet_at(i * 200 * us_per_ms, event_kind::packet_sent, -1, false));
   }
   BOOST_TEST(violated("flow-survival", events));
-  events.insert(events.begin() + 8, packet_at(1500 * us_per_ms,
-                                              event_kind::packet_in, 1, false));
+  events.insert(events.begin() + 8,
+                packet_at(1500 * us_per_ms, event_kind::packet_in, 1, false));
   events.resize(14);
   BOOST_TEST(!violated("flow-survival", events));
 }
