--- a/packages/coordination/src/traffic_core.cpp
+++ b/packages/coordination/src/traffic_core.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "traffic_core_internal.h"
+#include "turmeric/coordination/checksum_func.h"
 
 namespace turmeric {
 traffic_core::traffic_core(traffic_options options,
@@ -189,6 +190,7 @@
   part.serial = m.right.serial;
   part.nonce = m.right.nonce;
   part.code = result_code::unknown_outcome;
+  part.checksum = checksum(part.body);
   out->emplace_back(send_packet{m.reply_to, packet(std::move(part)), false});
 }
 
--- a/tests/standins/load_main.cpp
+++ b/tests/standins/load_main.cpp
@@ -120,6 +120,7 @@
       --parts_left_;
     sent_[r.id] = r.repeatable;
     ++totals_->requests;
+    submitted_ = steady_now();
     execute(core_.submit(steady_now(), std::move(r)));
   }
 
@@ -160,6 +161,8 @@
     v["not_run"] = says_not_run(r.code);
     v["mixed"] = mixed;
     v["attempts"] = r.attempts;
+    v["ended_us"] = Json::Int64(steady_now());
+    v["latency_ms"] = Json::Int64((steady_now() - submitted_) / us_per_ms);
     history_->write(v);
     sent_.erase(r.id);
     resume_ = steady_now() + options_.pause_ms * us_per_ms;
@@ -180,6 +183,7 @@
   int count_ = 0;
   int parts_left_ = 0;
   time_us resume_ = 0;
+  time_us submitted_ = 0;
 };
 
 int run(const load_options& options, const std::string& history_path) {
