--- a/packages/coordination/include/turmeric/coordination/flow_steering_base.h
+++ b/packages/coordination/include/turmeric/coordination/flow_steering_base.h
@@ -121,6 +121,7 @@
                service_id service,
                const bucket_table* before,
                const bucket_table* after);
+  void find_skipped_moves(time_us now, const service_index& before);
   bool young(time_us now) const;
   const moving_bucket* moving_in(service_id service, uint32_t bucket) const;
   bool announced_move(service_id service, uint32_t bucket) const;
--- a/packages/coordination/include/turmeric/coordination/membership_base.h
+++ b/packages/coordination/include/turmeric/coordination/membership_base.h
@@ -89,6 +89,7 @@
     member_record record;
     time_us suspect_since = 0;
     time_us dead_since = 0;
+    time_us silent_since = 0;  ///< Of a leaving member; 0 if it answers.
     revision known = 0;
     unsigned sends_left = 0;  ///< Piggyback transmissions still to do.
   };
--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -1,5 +1,6 @@
 /** @file flow_steering_table.cpp Moving buckets, notes, copies and expiry. */
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "turmeric/coordination/flow_steering_base.h"
@@ -36,6 +37,7 @@
       continue;
     compare(now, service, old->second.get(), after.get());
   }
+  find_skipped_moves(now, *before->index);
   for (const auto& [target, place] : table_->index->targets) {
     const bool is_new = before->index->targets.count(target) == 0;
     const bool known_service =
@@ -45,6 +47,34 @@
   }
 }
 
+void flow_steering::find_skipped_moves(time_us now,
+                                       const service_index& before) {
+  // A flag that was set and cleared between two revisions taken into use leaves
+  // no trace in the buckets, but other balancers may have opened flows elsewhere
+  // meanwhile: the owner must be asked.
+  const service_index& after = *table_->index;
+  std::set<service_id> affected;
+  for (const auto& [id, place] : after.targets) {
+    const zone_id zone = place.target->zone;
+    const auto zoned = after.zone_changed.find(zone);
+    const auto drained = after.drain_changed.find(id);
+    const bool zone_blinked =
+        zoned != after.zone_changed.end() && zoned->second > before.in_force &&
+        before.zones_out.count(zone) == after.zones_out.count(zone);
+    const bool drain_blinked =
+        drained != after.drain_changed.end() &&
+        drained->second > before.in_force &&
+        before.draining.count(id) == after.draining.count(id);
+    if (zone_blinked || drain_blinked)
+      affected.insert(place.service->id);
+  }
+  for (const service_id service : affected) {
+    const auto& targets = after.buckets.at(service)->targets;
+    for (uint32_t bucket = 0; bucket < targets.size(); ++bucket)
+      learn_moving(now, service, bucket, targets[bucket]);
+  }
+}
+
 void flow_steering::compare(time_us now,
                             service_id service,
                             const bucket_table* before,
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -207,6 +207,7 @@
   if (it != peers_.end() &&
       it->second.record.incarnation == message.from.incarnation) {
     it->second.known = std::max(it->second.known, message.known);
+    it->second.silent_since = 0;
   }
   for (const auto& record : message.updates)
     merge(now, record);
--- a/packages/coordination/src/membership_probe.cpp
+++ b/packages/coordination/src/membership_probe.cpp
@@ -84,13 +84,13 @@
                       found->second.record.state == member_state::live;
     const bool leaving = found != peers_.end() &&
                          found->second.record.state == member_state::leaving;
-    if (own && (live || leaving)) {
-      found->second.record.state =
-          leaving ? member_state::dead : member_state::suspect;
+    if (own && live) {
+      found->second.record.state = member_state::suspect;
       found->second.suspect_since = now;
-      found->second.dead_since = now;
       mark_changed(&found->second);
     }
+    if (own && leaving && found->second.silent_since == 0)
+      found->second.silent_since = now;
     it = probes_.erase(it);
   }
 }
@@ -99,7 +99,13 @@
   for (auto it = peers_.begin(); it != peers_.end();) {
     peer& p = it->second;
     const bool suspect = p.record.state == member_state::suspect;
-    if (suspect && now - p.suspect_since >= options_.suspicion) {
+    // A leaving member still answers for its permits, so that its death must
+    // be as sure as that of any other.
+    const bool silent = p.record.state == member_state::leaving &&
+                        p.silent_since > 0 &&
+                        now - p.silent_since >= options_.suspicion;
+    const bool overdue = suspect && now - p.suspect_since >= options_.suspicion;
+    if (overdue || silent) {
       p.record.state = member_state::dead;
       p.dead_since = now;
       mark_changed(&p);
@@ -118,8 +124,10 @@
 void membership::probe_suspects(time_us now, std::vector<gossip_out>* out) {
   size_t sent = 0;
   for (auto& [id, p] : peers_) {
-    const bool suspect = p.record.state == member_state::suspect;
-    if (!suspect || sent >= options_.suspects_per_interval)
+    const bool doubted =
+        p.record.state == member_state::suspect ||
+        (p.record.state == member_state::leaving && p.silent_since > 0);
+    if (!doubted || sent >= options_.suspects_per_interval)
       continue;
     ++sent;
     const uint64_t sequence = ++sequence_;
--- a/packages/state/include/turmeric/state/route_base.h
+++ b/packages/state/include/turmeric/state/route_base.h
@@ -47,6 +47,8 @@
   std::unordered_set<zone_id> zones_out;
   std::unordered_set<target_id> draining;
   std::unordered_set<member_id> leaving;  ///< Balancers told to stop.
+  std::unordered_map<zone_id, revision> zone_changed;  ///< Last set or cleared.
+  std::unordered_map<target_id, revision> drain_changed;
 
   /** @return The place of @p id if it belongs to @p service, else null. */
   const target_place* find(service_id service, target_id id) const;
--- a/packages/state/src/route.cpp
+++ b/packages/state/src/route.cpp
@@ -70,9 +70,13 @@
   auto index = std::make_shared<service_index>();
   index->in_force = state.current();
   for (const auto& [key, entry] : state.entries()) {
+    const config_key parsed = parse_key(key);
+    if (parsed.kind == key_kind::zone_out)
+      index->zone_changed[id_of<zone_id>(parsed.name)] = entry.changed;
+    if (parsed.kind == key_kind::target_drain)
+      index->drain_changed[id_of<target_id>(parsed.name)] = entry.changed;
     if (entry.value.empty())
       continue;
-    const config_key parsed = parse_key(key);
     switch (parsed.kind) {
       case key_kind::service:
         add_service(entry, index.get());
