--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -50,8 +50,8 @@
 void flow_steering::find_skipped_moves(time_us now,
                                        const service_index& before) {
   // A flag that was set and cleared between two revisions taken into use leaves
-  // no trace in the buckets, but other balancers may have opened flows elsewhere
-  // meanwhile: the owner must be asked.
+  // no trace in the buckets, but other balancers may have opened flows
+  // elsewhere meanwhile: the owner must be asked.
   const service_index& after = *table_->index;
   std::set<service_id> affected;
   for (const auto& [id, place] : after.targets) {
