--- a/packages/coordination/src/flow_steering_table.cpp
+++ b/packages/coordination/src/flow_steering_table.cpp
@@ -241,8 +241,13 @@
 void flow_steering::on(time_us now, const moving_list& m) {
   for (const auto& notes : m.services) {
     const size_t count = std::min(notes.buckets.size(), notes.oldest.size());
-    for (size_t i = 0; i < count; ++i)
+    for (size_t i = 0; i < count; ++i) {
       learn_moving(now, notes.service, notes.buckets[i], notes.oldest[i]);
+      // The peer has seen more moves of the bucket than this balancer.
+      const auto it = moving_[notes.service].find(notes.buckets[i]);
+      if (it != moving_[notes.service].end())
+        it->second.oldest = notes.oldest[i];
+    }
   }
   // A peer that is behind does not know of the newest moves.
   synced_ = synced_ || m.in_force >= table_->index->in_force;
