--- a/tests/harness/checkers.cpp
+++ b/tests/harness/checkers.cpp
@@ -15,6 +15,12 @@
 
 using found = std::optional<violation>;
 
+/** @return Whether something reached a target. */
+bool arrives(const history_event& e) {
+  return e.kind == event_kind::work || e.kind == event_kind::packet_in ||
+         e.kind == event_kind::overload;
+}
+
 /** "A few seconds" for withdrawn zones and leaving targets. */
 constexpr time_us quiet_after = 3 * us_per_s;
 /** Bound on a configuration's way into force. */
@@ -127,10 +133,7 @@
 
 found service_isolation(const history& events, const sim_options&) {
   for (const auto& e : events) {
-    const bool arrives = e.kind == event_kind::work ||
-                         e.kind == event_kind::packet_in ||
-                         e.kind == event_kind::overload;
-    if (arrives && e.service != e.own_service) {
+    if (arrives(e) && e.service != e.own_service) {
       return violation{e.at, fmt::format("target {} of {} got work of {}",
                                          e.target, e.own_service, e.service)};
     }
@@ -142,11 +145,8 @@
   const contact_times contact(events);
   for (const auto& span : flag_spans(events, key_kind::zone_out)) {
     for (const auto& e : events) {
-      const bool arrives = e.kind == event_kind::work ||
-                           e.kind == event_kind::packet_in ||
-                           e.kind == event_kind::overload;
       const bool inside = e.at > span.set + quiet_after && e.at < span.cleared;
-      if (!arrives || !inside || span.name != fmt::format("zone{}", e.zone))
+      if (!arrives(e) || !inside || span.name != fmt::format("zone{}", e.zone))
         continue;
       if (!contact.had(e.balancer, span.set, e.at, quiet_after))
         continue;
