--- a/apps/turmericd/main.cpp
+++ b/apps/turmericd/main.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 #include "admin_json.h"
@@ -11,6 +12,7 @@
 #include "turmeric/transport/admin_base.h"
 #include "turmeric/transport/clock_func.h"
 #include "turmeric/transport/control_runner_base.h"
+#include "turmeric/transport/forwarder_base.h"
 #include "turmeric/transport/traffic_runner_base.h"
 
 namespace turmeric {
@@ -18,6 +20,10 @@
 
 constexpr auto poll_interval = std::chrono::milliseconds(20);
 
+/** Names the settings file where the command line does not. */
+constexpr const char* settings_variable = "TURMERICSTREAM_SETTINGS";
+constexpr std::string_view forwarding_mode = "forwarding";
+
 volatile std::sig_atomic_t stop_requested = 0;
 
 void request_stop(int) {
@@ -25,11 +31,12 @@
 }
 
 constexpr const char* usage_text =
-    "Usage: turmericd --settings FILE\n"
+    "Usage: turmericd [--settings FILE]\n"
     "\n"
     "Runs one balancer until SIGTERM or `turmericstream instance drain`.\n"
     "\n"
-    "  -s, --settings FILE   INI file with the settings\n"
+    "  -s, --settings FILE   INI file with the settings; without it, the file\n"
+    "                        that TURMERICSTREAM_SETTINGS names\n"
     "  -S, --help-settings   print the table of settings\n"
     "  -h, --help            print this text\n";
 
@@ -133,7 +140,8 @@
                             {"help-settings", no_argument, nullptr, 'S'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
-  std::string path;
+  const char* named = std::getenv(settings_variable);
+  std::string path = named == nullptr ? "" : named;
   for (int c = 0;
        (c = getopt_long(argc, argv, "s:Sh", options, nullptr)) != -1;) {
     switch (c) {
@@ -160,9 +168,14 @@
     return report(read.error());
   set_log_instance(read.value().text(setting::instance_name));
   set_levels("all", read.value().text(setting::log_level));
+  std::signal(SIGPIPE, SIG_IGN);
+  if (read.value().text(setting::instance_mode) == forwarding_mode) {
+    auto ended = run_forwarder(read.value(), path,
+                               [path] { return read_settings(path); });
+    return ended ? 0 : report(ended.error());
+  }
   std::signal(SIGTERM, request_stop);
   std::signal(SIGINT, request_stop);
-  std::signal(SIGPIPE, SIG_IGN);
   auto ended = run(read.value());
   return ended ? 0 : report(ended.error());
 }
--- /dev/null
+++ b/deploy/turmericd.ini.tpl
@@ -0,0 +1,20 @@
+; Settings of one balancer, filled in by the platform.
+[instance]
+mode = forwarding
+name = {{node_name}}
+zone = {{zone}}
+cluster = turmericstream
+; Shared by the balancers of one installation; replace it in your own copy.
+key = 7c1f0be4a92d5836e0c74b1d9f3a6285417be3d08c96f25a1de874b30f59c62a
+
+[forwarding]
+packets = {{listen.packet_addr}}
+ready = {{listen.ready}}
+peers = {{ip}}:{{internal_port_range.0}}
+metrics = {{ip}}:{{internal_port_range.1}}
+seeds = {{seeds}}
+registry = {{platform.address}}
+grace = {{bounds.grace_s}}
+max_flow = {{bounds.max_flow_s}}
+cold_overage = {{bounds.cold_overage}}
+cold_slack = {{bounds.cold_slack}}
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/directory_belief_base.h
@@ -0,0 +1,79 @@
+/** @file directory_belief_base.h What a balancer knows of one kind of
+ * directory entries: a state of the registry at one revision, which only ever
+ * moves forward. */
+#ifndef TURMERIC_COORDINATION_DIRECTORY_BELIEF_BASE_H_
+#define TURMERIC_COORDINATION_DIRECTORY_BELIEF_BASE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "turmeric/state/peer_message_type.h"
+
+namespace turmeric {
+
+/** An entry that is or was in the registry. */
+struct believed_entry {
+  uint64_t revision = 0;
+  std::shared_ptr<const directory_value> value;  ///< Null if unreadable.
+  std::string problem;
+  bool registered = true;
+  time_us removed = 0;  ///< When the removal was learnt; microseconds, local.
+};
+
+/** A change of the belief, for the log. */
+struct belief_change {
+  std::string name;
+  uint64_t revision = 0;
+  bool removed = false;
+  std::string problem;
+};
+
+/** Knowledge of one kind. */
+class directory_belief {
+ public:
+  /** @param keep_removed Time for which removed entries stay known. */
+  explicit directory_belief(time_us keep_removed)
+      : keep_removed_(keep_removed) {}
+
+  /** Applies changes that are complete from the known revision to
+   * @p revision.
+   * @return What changed; nothing if @p revision is not newer. */
+  std::vector<belief_change> apply(
+      time_us now,
+      uint64_t revision,
+      const std::vector<directory_change>& changes);
+
+  /** Replaces the state by that at @p revision.
+   * @return What changed; nothing if @p revision is not newer. */
+  std::vector<belief_change> replace(time_us now,
+                                     uint64_t revision,
+                                     const std::vector<directory_change>& all);
+
+  /** Forgets entries that were removed long ago. */
+  void forget_removed(time_us now);
+
+  bool loaded() const { return mark_.revision != 0; }
+  const directory_mark& mark() const { return mark_; }
+  const std::map<std::string, believed_entry>& entries() const {
+    return entries_;
+  }
+
+ private:
+  void put(time_us now,
+           const directory_change& change,
+           std::vector<belief_change>* out);
+  void remove(time_us now,
+              const std::string& name,
+              uint64_t revision,
+              std::vector<belief_change>* out);
+  void advance(uint64_t revision);
+
+  time_us keep_removed_;
+  directory_mark mark_;
+  std::map<std::string, believed_entry> entries_;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_DIRECTORY_BELIEF_BASE_H_
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -0,0 +1,173 @@
+/** @file directory_core_base.h Follows the platform's registry.
+ *
+ * Lists and then watches each kind of entry, shares what is known with other
+ * balancers, and publishes forwarding tables. Each kind is believed as it was
+ * at one revision; the newest revision wins, whether it came from the registry
+ * or from a peer. Does no I/O.
+ */
+#ifndef TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
+#define TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
+
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "turmeric/coordination/directory_belief_base.h"
+#include "turmeric/coordination/forwarding_table_base.h"
+#include "turmeric/coordination/peer_table_base.h"
+
+namespace turmeric {
+
+/** Times and bounds of the directory. */
+struct directory_options {
+  peer_options peers;
+  std::vector<endpoint> seeds;
+  uint64_t incarnation = 0;
+  /** Longest wait of one watch: a connection that went silent is noticed
+   * within it, below the bounds on changes, which are seconds. */
+  time_us watch_wait = 2500 * us_per_ms;
+  /** Answers take this much longer than a watch's wait at most. */
+  time_us watch_margin = 700 * us_per_ms;
+  time_us list_timeout = 700 * us_per_ms;   ///< First one; then doubled.
+  time_us max_list_timeout = 3 * us_per_s;  ///< For a slow registry.
+  time_us retry_min = 100 * us_per_ms;      ///< First retry.
+  time_us retry_max = 800 * us_per_ms;      ///< Longest back-off.
+  /** Time for which a target whose entry vanished without notice still gets
+   * new flows: entries that lapsed with the registry are back by then, and
+   * the bound on draining targets is above it. */
+  time_us lapse_grace = 2 * us_per_s;
+  /** Time for which tokens of removed targets are known: the longest flow. */
+  time_us keep_removed = 60 * us_per_s;
+  /** A peer's older state is left to the registry for this long. */
+  time_us push_patience = 300 * us_per_ms;
+};
+
+/** Sends a message to a peer. */
+struct send_peer_message {
+  endpoint to;
+  peer_message body;
+};
+
+/** Replaces the traffic thread's snapshot. */
+struct publish_table {
+  std::shared_ptr<const forwarding_table> table;
+  std::vector<uint64_t> balancers;  ///< Other live ones, by hashed name.
+};
+
+/** A line for the log about a change of belief. */
+struct directory_note {
+  std::string message;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/** What the adapters must do for the directory core. */
+using directory_action = std::
+    variant<registry_call, send_peer_message, publish_table, directory_note>;
+
+/** Follows the registry; see the file's comment. */
+class directory_core {
+ public:
+  using actions = std::vector<directory_action>;
+
+  directory_core(directory_options options, random_source random);
+
+  /** Starts lists and heartbeats. */
+  actions start(time_us now);
+
+  /** A call has ended. */
+  actions on_reply(time_us now, const registry_reply& reply);
+
+  /** A message came from a peer; its signature has been checked. */
+  actions on_peer(time_us now, const peer_message& message);
+
+  /** Runs the timers. */
+  actions tick(time_us now);
+
+  /** Tells the peers that this balancer is about to stop. */
+  actions leave(time_us now);
+
+  /** Replaces the contacts of the settings. */
+  void set_seeds(time_us now, const std::vector<endpoint>& seeds);
+
+  /** @return When tick() is due. */
+  time_us next_tick() const;
+
+  /** @return Whether all kinds are known. */
+  bool complete() const;
+
+  const directory_belief& belief(directory_kind kind) const;
+  const peer_table& peers() const { return peers_; }
+
+ private:
+  /** Calls about one kind. */
+  struct follower {
+    explicit follower(time_us keep_removed) : belief(keep_removed) {}
+
+    directory_belief belief;
+    uint64_t call = 0;  ///< In flight; 0 if none.
+    registry_op op = registry_op::list;
+    bool must_list = true;
+    time_us next_call = 0;
+    uint32_t failures = 0;
+    bool lost = false;  ///< The registry did not answer the last call.
+    uint64_t list_revision = 0;
+    std::vector<directory_change> listed;  ///< Pages so far.
+  };
+
+  follower& of(directory_kind kind) {
+    return followers_[static_cast<size_t>(kind)];
+  }
+  follower* waiting_for(uint64_t call, directory_kind* kind);
+  void start_call(time_us now, directory_kind kind, actions* out);
+  void page_arrived(time_us now,
+                    directory_kind kind,
+                    const registry_reply& reply,
+                    actions* out);
+  void changes_arrived(time_us now,
+                       directory_kind kind,
+                       const registry_reply& reply,
+                       actions* out);
+  void call_failed(time_us now,
+                   directory_kind kind,
+                   const registry_reply& reply,
+                   actions* out);
+  void believe(time_us now,
+               directory_kind kind,
+               const std::string& source,
+               const std::vector<belief_change>& changes,
+               actions* out);
+  void gate_lifted_zones(directory_kind kind,
+                         const std::vector<belief_change>& changes);
+  void publish(time_us now, actions* out);
+  table_input make_input() const;
+  void add_withdrawn(table_input* input) const;
+  void on(time_us now, const peer_hello& hello, actions* out);
+  void on(time_us now, const peer_directory& directory, actions* out);
+  void push_to(time_us now, known_peer* peer, actions* out);
+  peer_directory directory_for(time_us now,
+                               directory_kind kind,
+                               uint64_t incarnation) const;
+  peer_hello make_hello(time_us now);
+  void send_round(time_us now, actions* out);
+
+  directory_options options_;
+  random_source random_;
+  peer_table peers_;
+  std::vector<follower> followers_;
+  /** Zones taken back at a revision that the targets are not yet known at:
+   * their targets may have turned cold meanwhile. */
+  std::map<std::string, uint64_t> lifted_;
+  uint64_t next_call_id_ = 1;
+  uint64_t sequence_ = 0;
+  time_us next_round_ = 0;
+  time_us next_forget_ = 0;
+  bool leaving_ = false;
+  std::vector<uint64_t> published_balancers_;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -0,0 +1,143 @@
+/** @file forwarding_core_base.h Decides where segments go.
+ *
+ * Every segment after the opening carries the token of its target, so that any
+ * balancer can forward it. Only openings are decisions; what is kept of a flow
+ * serves to tell repeated openings and to see which targets answer.
+ */
+#ifndef TURMERIC_COORDINATION_FORWARDING_CORE_BASE_H_
+#define TURMERIC_COORDINATION_FORWARDING_CORE_BASE_H_
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include "turmeric/coordination/placement_base.h"
+
+namespace turmeric {
+
+/** Times and bounds of forwarding. */
+struct forwarding_options {
+  placement_options placing;
+  /** An opening without a further segment of its caller after this counts as
+   * unanswered: ten times a usual handshake. */
+  time_us answer_time = 60 * us_per_ms;
+  /** Time for which an opening is remembered: the caller gives up by then. */
+  time_us opening_time = 1500 * us_per_ms;
+  /** A flow without segments for this time no longer counts as work in hand:
+   * above the callers' first repetition. */
+  time_us busy_time = 400 * us_per_ms;
+  /** Time after which a quiet flow is forgotten. */
+  time_us flow_time = 15 * us_per_s;
+  /** Flows remembered at once; beyond this new ones are not counted. */
+  size_t max_flows = 200000;
+};
+
+/** What to do with a segment. */
+enum class forwarding_act : uint8_t { drop, forward, reset, end };
+
+/** Why. */
+enum class forwarding_reason : uint8_t {
+  opened,         ///< Forwarded to a newly chosen target.
+  repeated,       ///< A repeated opening, to the same target.
+  moved,          ///< A repeated opening, to another target.
+  continued,      ///< Forwarded by its token.
+  no_table,       ///< Nothing is known yet.
+  no_route,       ///< No route at the address.
+  no_target,      ///< The route's services have no target that may take it.
+  unknown_token,  ///< The token names no target.
+  not_a_caller,   ///< A segment that only targets send.
+  end
+};
+
+/** @return The name of @p reason in logs and metrics. */
+std::string_view name_of(forwarding_reason reason);
+
+/** A decision on one segment. */
+struct forwarding_decision {
+  forwarding_act act = forwarding_act::drop;
+  forwarding_reason reason = forwarding_reason::no_table;
+  const forwarding_target* target = nullptr;  ///< Set if forwarded.
+  placement_choice choice;                    ///< Set for openings.
+};
+
+/** Counters of one balancer. */
+struct forwarding_counters {
+  std::array<uint64_t, static_cast<size_t>(forwarding_reason::end)> reasons{};
+  uint64_t unanswered = 0;  ///< Openings left unanswered.
+  uint64_t malformed = 0;   ///< Packets that could not be read.
+};
+
+/** Decisions of one balancer's traffic thread. */
+class forwarding_core {
+ public:
+  forwarding_core(forwarding_options options, random_source random);
+
+  /** Takes a newer snapshot. */
+  void table(std::shared_ptr<const forwarding_table> table);
+
+  /** Sets the balancers that share the cold targets. */
+  void set_balancers(uint64_t self, std::vector<uint64_t> others);
+
+  /** Decides on a caller's segment. The decision's target lives as long as
+   * the snapshot. */
+  forwarding_decision on_segment(time_us now, const segment& s);
+
+  /** Counts a packet that is no segment. */
+  void count_malformed() { ++counters_.malformed; }
+
+  /** Runs the timers. */
+  void tick(time_us now);
+
+  /** @return When tick() is due. */
+  time_us next_tick() const;
+
+  const forwarding_counters& counters() const { return counters_; }
+  const placement& placing() const { return placement_; }
+  /** @return Flows remembered. */
+  size_t flows() const { return flows_.size(); }
+
+ private:
+  struct flow_state {
+    flow_token token = 0;
+    time_us opened = 0;
+    time_us seen = 0;
+    bool answered = false;
+    bool held_against = false;  ///< Counted as unanswered.
+    bool busy = false;          ///< Counted as work in hand.
+  };
+  /** A time at which a flow is looked at. */
+  struct check {
+    time_us due;
+    flow_key key;
+  };
+
+  forwarding_decision decide(time_us now, const segment& s);
+  forwarding_decision on_opening(time_us now, const segment& s);
+  forwarding_decision on_repeated(time_us now,
+                                  const segment& s,
+                                  flow_state* flow);
+  forwarding_decision open(time_us now,
+                           const segment& s,
+                           const std::string& service,
+                           flow_token avoid);
+  void note_segment(time_us now, const segment& s, flow_token token);
+  void end_flow(const flow_key& key);
+  void set_busy(flow_state* flow, bool busy);
+  void hold_against(time_us now, flow_state* flow);
+  void check_answers(time_us now);
+  void check_quiet(time_us now);
+  void check_idle(time_us now);
+
+  forwarding_options options_;
+  placement placement_;
+  std::shared_ptr<const forwarding_table> table_;
+  std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
+  std::deque<check> answer_checks_;
+  std::deque<check> quiet_checks_;  ///< Of flows counted as work in hand.
+  std::deque<check> idle_checks_;   ///< Of flows that turned quiet.
+  forwarding_counters counters_;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_FORWARDING_CORE_BASE_H_
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -0,0 +1,87 @@
+/** @file peer_table_base.h Balancers that a balancer knows, and whom to send
+ * heartbeats next. */
+#ifndef TURMERIC_COORDINATION_PEER_TABLE_BASE_H_
+#define TURMERIC_COORDINATION_PEER_TABLE_BASE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "turmeric/state/peer_message_type.h"
+
+namespace turmeric {
+
+/** Times and bounds of heartbeats. */
+struct peer_options {
+  std::string name;
+  std::string zone;
+  endpoint address;
+  /** Between two rounds of heartbeats; a peer that starts in a zone that is
+   * cut off learns from it where its neighbours are. */
+  time_us interval = 250 * us_per_ms;
+  size_t own_zone_fanout = 3;    ///< Heartbeats a round within the zone.
+  size_t other_zone_fanout = 1;  ///< Heartbeats a round to other zones.
+  /** A peer silent for this long counts as gone. */
+  time_us alive_time = 2 * us_per_s;
+  /** A peer silent for this long is forgotten; above the length of usual
+   * partitions and restarts. */
+  time_us forget_time = 120 * us_per_s;
+  size_t shared_peers = 8;  ///< Addresses passed on in a heartbeat.
+};
+
+/** A known balancer. */
+struct known_peer {
+  peer_hello hello;   ///< The last one; without a name if none came.
+  time_us heard = 0;  ///< When it came.
+  time_us added = 0;
+  std::array<time_us, directory_kinds> behind_since{};  ///< 0 if it is not.
+  std::array<time_us, directory_kinds> pushed{};
+};
+
+/** What a heartbeat brought. */
+enum class hello_news : uint8_t { stale, known, started };
+
+/** The known balancers. */
+class peer_table {
+ public:
+  explicit peer_table(peer_options options);
+
+  /** Adds an address to try. */
+  void add_contact(time_us now, endpoint address);
+
+  /** Takes a heartbeat. */
+  hello_news on_hello(time_us now, const peer_hello& hello);
+
+  /** @return The addresses for the next round, in turn. */
+  std::vector<endpoint> next_round(time_us now);
+
+  /** @return Addresses of all known peers. */
+  std::vector<endpoint> all() const;
+
+  /** @return Some addresses of live peers, to be passed on. */
+  std::vector<endpoint> some_alive(time_us now);
+
+  /** @return Hashes of the names of the live peers. */
+  std::vector<uint64_t> alive_ids(time_us now) const;
+
+  /** @return The peer at @p address, or null. */
+  known_peer* find(endpoint address);
+
+  const std::map<endpoint, known_peer>& peers() const { return peers_; }
+
+ private:
+  void take_turns(const std::vector<endpoint>& from,
+                  size_t count,
+                  size_t* turn,
+                  std::vector<endpoint>* out) const;
+
+  peer_options options_;
+  std::map<endpoint, known_peer> peers_;
+  size_t own_turn_ = 0;
+  size_t other_turn_ = 0;
+  size_t share_turn_ = 0;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_PEER_TABLE_BASE_H_
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -0,0 +1,117 @@
+/** @file placement_base.h Chooses the target of a new flow.
+ *
+ * Answers a load of short flows of some tens of milliseconds each, spread over
+ * a few balancers that see their own flows only, before targets with a couple
+ * of slots each, of which some may be dead, cold or out of reach. The target
+ * with the least cost gets the flow: its flows in hand over its slots, plus
+ * penalties for another availability zone and for openings left unanswered.
+ * Penalties only order the targets, so that nothing is ever ruled out for lack
+ * of evidence that the rest is better.
+ */
+#ifndef TURMERIC_COORDINATION_PLACEMENT_BASE_H_
+#define TURMERIC_COORDINATION_PLACEMENT_BASE_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "turmeric/coordination/forwarding_table_base.h"
+
+namespace turmeric {
+
+/** Weights and times of placement. */
+struct placement_options {
+  std::string zone;  ///< Availability zone of this balancer.
+  /** Cost of a target in another zone, in shares of its slots: it is taken
+   * once the targets of the own zone have half as much in hand as that. */
+  double other_zone_cost = 0.75;
+  /** Cost of a target that left openings unanswered; more than any queue. */
+  double doubt_cost = 100.0;
+  /** First time for which an unanswered opening is held against a target:
+   * three times the delay of the callers' first repetition. */
+  time_us doubt_time = 600 * us_per_ms;
+  /** Longest such time: a dead target leaves the registry by then. */
+  time_us max_doubt_time = 4 * us_per_s;
+  /** New flows a second that a cold target may get beyond its own rate, from
+   * all balancers together; `cold_slack` of the platform. */
+  double cold_slack = 5.0;
+  /** Factor on the rate of a cold target; `cold_overage` of the platform. */
+  double cold_overage = 1.5;
+};
+
+/** How a flow was placed, for the log. */
+struct placement_choice {
+  const forwarding_target* target = nullptr;  ///< Null if none may take it.
+  double cost = 0.0;
+  size_t candidates = 0;
+};
+
+/** Loads and evidence about targets, and the choice among them. */
+class placement {
+ public:
+  placement(placement_options options, random_source random);
+
+  /** Chooses a target for a new flow.
+   * @param avoid Token of a target to avoid if there is another, or 0. */
+  placement_choice choose(time_us now,
+                          const forwarding_table& table,
+                          const std::string& service,
+                          flow_token avoid);
+
+  /** A flow was sent to the target. */
+  void flow_opened(time_us now, flow_token token);
+
+  /** A flow no longer keeps the target busy. */
+  void flow_ended(flow_token token);
+
+  /** A flow keeps the target busy again. */
+  void flow_resumed(flow_token token);
+
+  /** The caller got an answer from the target. */
+  void answered(flow_token token);
+
+  /** An opening sent to the target has been left unanswered. */
+  void unanswered(time_us now, flow_token token);
+
+  /** @return Flows in hand at the target, as seen here. */
+  uint32_t in_hand(flow_token token) const;
+
+  /** @return Whether the target is avoided at @p now. */
+  bool doubted(time_us now, flow_token token) const;
+
+  /** Sets the balancers that share the cold targets.
+   * @param self This balancer; it need not be among @p others. */
+  void set_balancers(uint64_t self, std::vector<uint64_t> others);
+
+  /** Forgets targets that are not in @p table. */
+  void retain(const forwarding_table& table);
+
+ private:
+  struct evidence {
+    uint32_t in_hand = 0;
+    uint32_t failures = 0;  ///< Unanswered openings since the last answer.
+    time_us doubted_until = 0;
+    bool probing = false;   ///< A first flow after a doubt is on its way.
+    time_us cold_next = 0;  ///< Earliest time of the next flow while cold.
+  };
+
+  double cost_of(time_us now, const forwarding_target& target) const;
+  bool cold_allowed(time_us now, const forwarding_target& target);
+  bool owns_cold(flow_token token) const;
+  time_us cold_interval(const forwarding_target& target) const;
+  const forwarding_target* cheapest(
+      time_us now,
+      const std::vector<const forwarding_target*>& candidates,
+      bool cold,
+      flow_token avoid,
+      double* cost);
+
+  placement_options options_;
+  random_source random_;
+  uint64_t self_ = 0;
+  std::vector<uint64_t> others_;
+  std::unordered_map<flow_token, evidence> evidence_;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_PLACEMENT_BASE_H_
--- /dev/null
+++ b/packages/coordination/src/directory_belief.cpp
@@ -0,0 +1,92 @@
+/** @file directory_belief.cpp Merging of registry states. */
+#include "turmeric/coordination/directory_belief_base.h"
+
+#include <set>
+
+namespace turmeric {
+
+void directory_belief::put(time_us now,
+                           const directory_change& change,
+                           std::vector<belief_change>* out) {
+  if (change.removed) {
+    remove(now, change.name, change.revision, out);
+    return;
+  }
+  const auto it = entries_.find(change.name);
+  if (it != entries_.end() && it->second.registered &&
+      it->second.revision >= change.revision)
+    return;
+  believed_entry& entry = entries_[change.name];
+  entry.revision = change.revision;
+  entry.registered = true;
+  entry.problem = change.problem;
+  entry.value = change.value;
+  out->push_back({change.name, change.revision, false, change.problem});
+}
+
+void directory_belief::remove(time_us now,
+                              const std::string& name,
+                              uint64_t revision,
+                              std::vector<belief_change>* out) {
+  const auto it = entries_.find(name);
+  if (it == entries_.end() || !it->second.registered ||
+      it->second.revision > revision)
+    return;
+  it->second.registered = false;
+  it->second.removed = now;
+  out->push_back({name, revision, true, ""});
+}
+
+void directory_belief::advance(uint64_t revision) {
+  mark_.revision = revision;
+  mark_.digest = 0;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.registered)
+      mark_.digest ^= hash_pair(hash_name(name), entry.revision);
+  }
+}
+
+std::vector<belief_change> directory_belief::apply(
+    time_us now,
+    uint64_t revision,
+    const std::vector<directory_change>& changes) {
+  std::vector<belief_change> out;
+  if (revision <= mark_.revision)
+    return out;
+  for (const auto& change : changes)
+    put(now, change, &out);
+  advance(revision);
+  return out;
+}
+
+std::vector<belief_change> directory_belief::replace(
+    time_us now,
+    uint64_t revision,
+    const std::vector<directory_change>& all) {
+  std::vector<belief_change> out;
+  if (revision <= mark_.revision)
+    return out;
+  std::set<std::string> names;
+  for (const auto& change : all) {
+    names.insert(change.name);
+    put(now, change, &out);
+  }
+  for (const auto& [name, entry] : entries_) {
+    if (entry.registered && names.count(name) == 0)
+      remove(now, name, revision, &out);
+  }
+  advance(revision);
+  return out;
+}
+
+void directory_belief::forget_removed(time_us now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const believed_entry& entry = it->second;
+    if (!entry.registered && now - entry.removed >= keep_removed_)
+      it = entries_.erase(it);
+    else
+      ++it;
+  }
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/directory_core.cpp
@@ -0,0 +1,284 @@
+/** @file directory_core.cpp Calls to the registry and forwarding tables. */
+#include "turmeric/coordination/directory_core_base.h"
+
+#include <algorithm>
+
+namespace turmeric {
+namespace {
+
+constexpr time_us forget_interval = 5 * us_per_s;
+constexpr uint32_t max_doublings = 6;
+
+/** Kinds in the order in which they are asked for: targets last, so that they
+ * are known at a revision at which the zones' withdrawals are. */
+constexpr std::array<directory_kind, directory_kinds> call_order = {
+    directory_kind::withdrawals, directory_kind::routing,
+    directory_kind::targets};
+
+time_us doubled(time_us first, uint32_t times, time_us most) {
+  return std::min(first << std::min(times, max_doublings), most);
+}
+
+}  // namespace
+
+directory_core::directory_core(directory_options options, random_source random)
+    : options_(std::move(options)),
+      random_(std::move(random)),
+      peers_(options_.peers),
+      followers_(directory_kinds, follower(options_.keep_removed)) {}
+
+directory_core::actions directory_core::start(time_us now) {
+  actions out;
+  set_seeds(now, options_.seeds);
+  for (const directory_kind kind : call_order)
+    start_call(now, kind, &out);
+  for (const endpoint& to : peers_.all())
+    out.push_back(send_peer_message{to, make_hello(now)});
+  next_round_ = now + options_.peers.interval;
+  next_forget_ = now + forget_interval;
+  return out;
+}
+
+void directory_core::set_seeds(time_us now,
+                               const std::vector<endpoint>& seeds) {
+  for (const endpoint& seed : seeds)
+    peers_.add_contact(now, seed);
+}
+
+const directory_belief& directory_core::belief(directory_kind kind) const {
+  return followers_[static_cast<size_t>(kind)].belief;
+}
+
+bool directory_core::complete() const {
+  return std::all_of(followers_.begin(), followers_.end(),
+                     [](const follower& f) { return f.belief.loaded(); });
+}
+
+directory_core::follower* directory_core::waiting_for(uint64_t call,
+                                                      directory_kind* kind) {
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    if (followers_[i].call == call) {
+      *kind = static_cast<directory_kind>(i);
+      return &followers_[i];
+    }
+  }
+  return nullptr;
+}
+
+void directory_core::start_call(time_us now,
+                                directory_kind kind,
+                                actions* out) {
+  follower& f = of(kind);
+  registry_call call;
+  call.id = f.call = next_call_id_++;
+  call.kind = kind;
+  call.op = f.op = f.must_list ? registry_op::list : registry_op::watch;
+  if (f.must_list) {
+    if (!f.listed.empty())
+      call.after = f.listed.back().name;
+    call.timeout =
+        doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
+  } else {
+    call.revision = f.belief.mark().revision;
+    call.wait = options_.watch_wait;
+    call.timeout = options_.watch_wait + options_.watch_margin;
+  }
+  f.next_call = now + call.timeout;
+  out->push_back(call);
+}
+
+directory_core::actions directory_core::on_reply(time_us now,
+                                                 const registry_reply& reply) {
+  actions out;
+  directory_kind kind{};
+  follower* f = waiting_for(reply.id, &kind);
+  if (f == nullptr)
+    return out;
+  f->call = 0;
+  if (reply.status != registry_status::ok) {
+    call_failed(now, kind, reply, &out);
+    return out;
+  }
+  if (f->lost) {
+    f->lost = false;
+    out.push_back(directory_note{"registry regained",
+                                 {{"kind", std::string(name_of(kind))}}});
+  }
+  f->failures = 0;
+  if (f->op == registry_op::list)
+    page_arrived(now, kind, reply, &out);
+  else
+    changes_arrived(now, kind, reply, &out);
+  if (of(kind).call == 0)
+    start_call(now, kind, &out);
+  return out;
+}
+
+void directory_core::page_arrived(time_us now,
+                                  directory_kind kind,
+                                  const registry_reply& reply,
+                                  actions* out) {
+  follower& f = of(kind);
+  // Later pages may be newer; changes since the first are watched for.
+  if (f.listed.empty())
+    f.list_revision = reply.revision;
+  f.listed.insert(f.listed.end(), reply.changes.begin(), reply.changes.end());
+  if (reply.more && !reply.changes.empty())
+    return;
+  f.must_list = false;
+  const auto changes = f.belief.replace(now, f.list_revision, f.listed);
+  f.listed.clear();
+  believe(now, kind, "registry list", changes, out);
+}
+
+void directory_core::changes_arrived(time_us now,
+                                     directory_kind kind,
+                                     const registry_reply& reply,
+                                     actions* out) {
+  follower& f = of(kind);
+  const auto changes = f.belief.apply(now, reply.revision, reply.changes);
+  believe(now, kind, "registry watch", changes, out);
+}
+
+void directory_core::call_failed(time_us now,
+                                 directory_kind kind,
+                                 const registry_reply& reply,
+                                 actions* out) {
+  follower& f = of(kind);
+  if (!f.lost) {
+    f.lost = true;
+    out->push_back(directory_note{
+        "registry call failed",
+        {{"kind", std::string(name_of(kind))},
+         {"call", f.op == registry_op::list ? "list" : "watch"},
+         {"status", std::string(name_of(reply.status))},
+         {"revision", std::to_string(f.belief.mark().revision)}}});
+  }
+  f.listed.clear();
+  if (reply.status == registry_status::history_gone) {
+    f.must_list = true;
+    f.next_call = now;
+    return;
+  }
+  const time_us pause =
+      doubled(options_.retry_min, f.failures, options_.retry_max);
+  ++f.failures;
+  // Spread over half of the pause, so that balancers do not return together.
+  f.next_call = now + pause / 2 +
+                static_cast<time_us>(random_() % static_cast<uint64_t>(pause));
+}
+
+void directory_core::believe(time_us now,
+                             directory_kind kind,
+                             const std::string& source,
+                             const std::vector<belief_change>& changes,
+                             actions* out) {
+  gate_lifted_zones(kind, changes);
+  for (const auto& change : changes) {
+    directory_note note{change.removed ? "entry removed" : "entry changed",
+                        {{"kind", std::string(name_of(kind))},
+                         {"name", change.name},
+                         {"revision", std::to_string(change.revision)},
+                         {"source", source}}};
+    if (!change.problem.empty()) {
+      note.message = "entry unreadable";
+      note.fields.emplace_back("reason", change.problem);
+    }
+    out->push_back(std::move(note));
+  }
+  if (!changes.empty())
+    publish(now, out);
+}
+
+void directory_core::gate_lifted_zones(
+    directory_kind kind,
+    const std::vector<belief_change>& changes) {
+  const uint64_t known = belief(directory_kind::targets).mark().revision;
+  if (kind == directory_kind::withdrawals) {
+    const uint64_t lifted_at =
+        belief(directory_kind::withdrawals).mark().revision;
+    for (const auto& change : changes) {
+      if (change.removed && lifted_at > known)
+        lifted_[change.name] = lifted_at;
+    }
+  }
+  if (kind != directory_kind::targets)
+    return;
+  for (auto it = lifted_.begin(); it != lifted_.end();)
+    it = it->second <= known ? lifted_.erase(it) : std::next(it);
+}
+
+void directory_core::add_withdrawn(table_input* input) const {
+  for (const auto& [name, entry] :
+       belief(directory_kind::withdrawals).entries()) {
+    if (entry.registered)
+      input->withdrawn_zones.insert(name);
+  }
+  for (const auto& [zone, revision] : lifted_)
+    input->withdrawn_zones.insert(zone);
+}
+
+table_input directory_core::make_input() const {
+  table_input input;
+  for (size_t i = 0; i < directory_kinds; ++i)
+    input.revisions[i] = followers_[i].belief.mark().revision;
+  for (const auto& [name, entry] : belief(directory_kind::targets).entries()) {
+    if (entry.value == nullptr)
+      continue;
+    known_target known;
+    known.entry = std::get<target_entry>(*entry.value);
+    known.registered = entry.registered;
+    if (!entry.registered)
+      known.openings_until = entry.removed + options_.lapse_grace;
+    input.targets.push_back(std::move(known));
+  }
+  for (const auto& [name, entry] : belief(directory_kind::routing).entries()) {
+    if (entry.value != nullptr)
+      input.routing = entry.value;
+  }
+  add_withdrawn(&input);
+  return input;
+}
+
+void directory_core::publish(time_us now, actions* out) {
+  if (!complete())
+    return;
+  published_balancers_ = peers_.alive_ids(now);
+  out->push_back(
+      publish_table{std::make_shared<const forwarding_table>(make_input()),
+                    published_balancers_});
+}
+
+directory_core::actions directory_core::tick(time_us now) {
+  actions out;
+  for (const directory_kind kind : call_order) {
+    follower& f = of(kind);
+    if (f.call == 0 && now >= f.next_call)
+      start_call(now, kind, &out);
+  }
+  if (now >= next_round_)
+    send_round(now, &out);
+  if (now >= next_forget_) {
+    next_forget_ = now + forget_interval;
+    for (auto& f : followers_)
+      f.belief.forget_removed(now);
+    if (!lifted_.empty() && of(directory_kind::targets).call != 0) {
+      // The watch on targets hears nothing while none changes.
+      of(directory_kind::targets).call = 0;
+      of(directory_kind::targets).must_list = true;
+      start_call(now, directory_kind::targets, &out);
+    }
+  }
+  return out;
+}
+
+time_us directory_core::next_tick() const {
+  time_us next = std::min(next_round_, next_forget_);
+  for (const auto& f : followers_) {
+    if (f.call == 0)
+      next = std::min(next, f.next_call);
+  }
+  return next;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -0,0 +1,246 @@
+/** @file forwarding_core.cpp Openings, repeated openings and flow evidence. */
+#include "turmeric/coordination/forwarding_core_base.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace turmeric {
+namespace {
+
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(forwarding_reason::end)>
+    reason_names = {"opened",    "repeated",      "moved",
+                    "continued", "no_table",      "no_route",
+                    "no_target", "unknown_token", "not_a_caller"};
+
+/** The service of a new flow: by weight, the same for repeated openings. */
+const std::string& service_of(const route_entry& route, const flow_key& key) {
+  const uint64_t total = std::accumulate(
+      route.services.begin(), route.services.end(), uint64_t{0},
+      [](uint64_t sum, const weighted_service& s) { return sum + s.weight; });
+  if (total == 0)
+    return route.services.front().service;
+  uint64_t point = hash_of(key) % total;
+  for (const auto& s : route.services) {
+    if (point < s.weight)
+      return s.service;
+    point -= s.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace
+
+std::string_view name_of(forwarding_reason reason) {
+  return reason_names[static_cast<size_t>(reason)];
+}
+
+forwarding_core::forwarding_core(forwarding_options options,
+                                 random_source random)
+    : options_(options), placement_(options.placing, std::move(random)) {}
+
+void forwarding_core::table(std::shared_ptr<const forwarding_table> table) {
+  table_ = std::move(table);
+  placement_.retain(*table_);
+}
+
+void forwarding_core::set_balancers(uint64_t self,
+                                    std::vector<uint64_t> others) {
+  placement_.set_balancers(self, std::move(others));
+}
+
+forwarding_decision forwarding_core::on_segment(time_us now, const segment& s) {
+  forwarding_decision decision = decide(now, s);
+  ++counters_.reasons[static_cast<size_t>(decision.reason)];
+  return decision;
+}
+
+forwarding_decision forwarding_core::decide(time_us now, const segment& s) {
+  if (table_ == nullptr)
+    return {forwarding_act::drop, forwarding_reason::no_table, nullptr, {}};
+  if (s.flags.opens && (s.flags.acknowledges || s.flags.resets))
+    return {forwarding_act::drop, forwarding_reason::not_a_caller, nullptr, {}};
+  if (s.flags.opens)
+    return on_opening(now, s);
+  const forwarding_target* target = table_->target_of(s.token);
+  if (target == nullptr) {
+    return {
+        forwarding_act::drop, forwarding_reason::unknown_token, nullptr, {}};
+  }
+  note_segment(now, s, s.token);
+  return {forwarding_act::forward, forwarding_reason::continued, target, {}};
+}
+
+forwarding_decision forwarding_core::on_opening(time_us now, const segment& s) {
+  const auto it = flows_.find(key_of(s));
+  if (it != flows_.end()) {
+    if (now - it->second.opened < options_.opening_time)
+      return on_repeated(now, s, &it->second);
+    end_flow(key_of(s));
+  }
+  const route_entry* route = table_->route_at(s.destination);
+  if (route == nullptr)
+    return {forwarding_act::reset, forwarding_reason::no_route, nullptr, {}};
+  return open(now, s, service_of(*route, key_of(s)), 0);
+}
+
+forwarding_decision forwarding_core::on_repeated(time_us now,
+                                                 const segment& s,
+                                                 flow_state* flow) {
+  const forwarding_target* first = table_->target_of(flow->token);
+  if (first == nullptr || flow->answered) {
+    if (first == nullptr)
+      return {
+          forwarding_act::drop, forwarding_reason::unknown_token, nullptr, {}};
+    return {forwarding_act::forward, forwarding_reason::repeated, first, {}};
+  }
+  hold_against(now, flow);
+  const flow_token avoid = flow->token;
+  const std::string service = first->entry.service;
+  end_flow(key_of(s));
+  forwarding_decision decision = open(now, s, service, avoid);
+  if (decision.act == forwarding_act::forward) {
+    decision.reason = decision.target->token == avoid
+                          ? forwarding_reason::repeated
+                          : forwarding_reason::moved;
+  }
+  return decision;
+}
+
+forwarding_decision forwarding_core::open(time_us now,
+                                          const segment& s,
+                                          const std::string& service,
+                                          flow_token avoid) {
+  const placement_choice choice =
+      placement_.choose(now, *table_, service, avoid);
+  if (choice.target == nullptr) {
+    return {forwarding_act::reset, forwarding_reason::no_target, nullptr,
+            choice};
+  }
+  if (flows_.size() < options_.max_flows) {
+    const flow_key key = key_of(s);
+    flow_state flow;
+    flow.token = choice.target->token;
+    flow.opened = flow.seen = now;
+    placement_.flow_opened(now, flow.token);
+    flow.busy = true;
+    flows_[key] = flow;
+    answer_checks_.push_back({now + options_.answer_time, key});
+    quiet_checks_.push_back({now + options_.busy_time, key});
+  }
+  return {forwarding_act::forward, forwarding_reason::opened, choice.target,
+          choice};
+}
+
+void forwarding_core::note_segment(time_us now,
+                                   const segment& s,
+                                   flow_token token) {
+  const auto it = flows_.find(key_of(s));
+  if (it == flows_.end()) {
+    placement_.answered(token);
+    return;
+  }
+  flow_state& flow = it->second;
+  if (!flow.answered || flow.token != token) {
+    placement_.answered(token);
+    if (flow.token != token) {
+      // Another of the targets that the opening went to answered first.
+      set_busy(&flow, false);
+      flow.token = token;
+    }
+    flow.answered = true;
+  }
+  if (s.flags.finishes || s.flags.resets) {
+    end_flow(key_of(s));
+    return;
+  }
+  flow.seen = now;
+  if (!flow.busy) {
+    set_busy(&flow, true);
+    quiet_checks_.push_back({now + options_.busy_time, key_of(s)});
+  }
+}
+
+void forwarding_core::set_busy(flow_state* flow, bool busy) {
+  if (flow->busy == busy)
+    return;
+  flow->busy = busy;
+  if (busy)
+    placement_.flow_resumed(flow->token);
+  else
+    placement_.flow_ended(flow->token);
+}
+
+void forwarding_core::hold_against(time_us now, flow_state* flow) {
+  if (flow->answered || flow->held_against)
+    return;
+  flow->held_against = true;
+  ++counters_.unanswered;
+  placement_.unanswered(now, flow->token);
+}
+
+void forwarding_core::end_flow(const flow_key& key) {
+  const auto it = flows_.find(key);
+  if (it == flows_.end())
+    return;
+  set_busy(&it->second, false);
+  flows_.erase(it);
+}
+
+void forwarding_core::tick(time_us now) {
+  check_answers(now);
+  check_quiet(now);
+  check_idle(now);
+}
+
+void forwarding_core::check_answers(time_us now) {
+  while (!answer_checks_.empty() && answer_checks_.front().due <= now) {
+    const check c = answer_checks_.front();
+    answer_checks_.pop_front();
+    const auto it = flows_.find(c.key);
+    if (it != flows_.end() && it->second.opened <= c.due - options_.answer_time)
+      hold_against(now, &it->second);
+  }
+}
+
+void forwarding_core::check_quiet(time_us now) {
+  while (!quiet_checks_.empty() && quiet_checks_.front().due <= now) {
+    const check c = quiet_checks_.front();
+    quiet_checks_.pop_front();
+    const auto it = flows_.find(c.key);
+    if (it == flows_.end())
+      continue;
+    if (now - it->second.seen < options_.busy_time) {
+      quiet_checks_.push_back({now + options_.busy_time, c.key});
+      continue;
+    }
+    set_busy(&it->second, false);
+    idle_checks_.push_back({now + options_.flow_time, c.key});
+  }
+}
+
+void forwarding_core::check_idle(time_us now) {
+  while (!idle_checks_.empty() && idle_checks_.front().due <= now) {
+    const check c = idle_checks_.front();
+    idle_checks_.pop_front();
+    const auto it = flows_.find(c.key);
+    // A busy flow gets a new check when it turns quiet.
+    if (it == flows_.end() || it->second.busy)
+      continue;
+    if (now - it->second.seen >= options_.flow_time)
+      end_flow(c.key);
+  }
+}
+
+time_us forwarding_core::next_tick() const {
+  time_us next = INT64_MAX;
+  if (!answer_checks_.empty())
+    next = std::min(next, answer_checks_.front().due);
+  if (!quiet_checks_.empty())
+    next = std::min(next, quiet_checks_.front().due);
+  if (!idle_checks_.empty())
+    next = std::min(next, idle_checks_.front().due);
+  return next;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/forwarding_table.cpp
@@ -0,0 +1,92 @@
+/** @file forwarding_table.cpp Building of the forwarding snapshot. */
+#include "turmeric/coordination/forwarding_table_base.h"
+
+#include <algorithm>
+
+namespace turmeric {
+
+flow_token token_of(const std::string& name) {
+  const uint64_t hash = hash_name(name);
+  const auto token = static_cast<flow_token>(hash ^ (hash >> 32));
+  return token == 0 ? 1 : token;
+}
+
+forwarding_table::forwarding_table(const table_input& input)
+    : revisions_(input.revisions) {
+  for (const auto& known : input.targets)
+    add_target(known, input.withdrawn_zones);
+  if (input.routing != nullptr)
+    add_routing(std::get<routing_entry>(*input.routing));
+  index_openings();
+}
+
+void forwarding_table::add_target(const known_target& known,
+                                  const std::set<std::string>& withdrawn) {
+  forwarding_target t;
+  t.entry = known.entry;
+  t.token = token_of(known.entry.name);
+  const bool closed =
+      known.entry.draining || withdrawn.count(known.entry.zone) != 0;
+  t.openings_until = closed ? 0 : known.openings_until;
+  const auto [it, added] = targets_.try_emplace(t.token, t);
+  if (added) {
+    registered_[t.token] = known.registered;
+    return;
+  }
+  // Two names share a token. Registered targets go first, then older ones, so
+  // that the outcome does not depend on the order in which they came; the
+  // other one gets no new flows, as its packets could not be told apart.
+  const auto rank = [](bool registered, const target_entry& e) {
+    return std::make_tuple(!registered, e.created, std::cref(e.name));
+  };
+  if (rank(known.registered, known.entry) <
+      rank(registered_[t.token], it->second.entry)) {
+    it->second = t;
+    registered_[t.token] = known.registered;
+  }
+}
+
+void forwarding_table::add_routing(const routing_entry& routing) {
+  routing_version_ = routing.version;
+  idle_timeout_ = routing.idle_timeout;
+  for (const auto& route : routing.routes)
+    routes_[route.address] = route;
+  std::unordered_map<std::string, double> cold_rates;
+  for (const auto& service : routing.services)
+    cold_rates[service.name] = service.cold_per_s;
+  for (auto& [token, target] : targets_) {
+    const auto it = cold_rates.find(target.entry.service);
+    if (it != cold_rates.end())
+      target.cold_per_s = it->second;
+  }
+}
+
+void forwarding_table::index_openings() {
+  for (const auto& [token, target] : targets_) {
+    if (target.openings_until != 0)
+      openings_[target.entry.service].push_back(&target);
+  }
+  for (auto& [service, targets] : openings_) {
+    std::sort(targets.begin(), targets.end(),
+              [](const auto* a, const auto* b) { return a->token < b->token; });
+  }
+}
+
+const forwarding_target* forwarding_table::target_of(flow_token token) const {
+  const auto it = targets_.find(token);
+  return it == targets_.end() ? nullptr : &it->second;
+}
+
+const route_entry* forwarding_table::route_at(const endpoint& address) const {
+  const auto it = routes_.find(address);
+  return it == routes_.end() ? nullptr : &it->second;
+}
+
+const std::vector<const forwarding_target*>& forwarding_table::openings_of(
+    const std::string& service) const {
+  static const std::vector<const forwarding_target*> none;
+  const auto it = openings_.find(service);
+  return it == openings_.end() ? none : it->second;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/peer_table.cpp
@@ -0,0 +1,100 @@
+/** @file peer_table.cpp Known balancers and rounds of heartbeats. */
+#include "turmeric/coordination/peer_table_base.h"
+
+#include <algorithm>
+
+namespace turmeric {
+
+peer_table::peer_table(peer_options options) : options_(std::move(options)) {}
+
+void peer_table::add_contact(time_us now, endpoint address) {
+  if (address == options_.address)
+    return;
+  const auto [it, added] = peers_.try_emplace(address);
+  if (added)
+    it->second.added = now;
+}
+
+hello_news peer_table::on_hello(time_us now, const peer_hello& hello) {
+  if (hello.address == options_.address)
+    return hello_news::stale;
+  add_contact(now, hello.address);
+  known_peer& peer = peers_[hello.address];
+  const peer_hello& last = peer.hello;
+  const auto order = std::make_pair(hello.incarnation, hello.sequence);
+  if (!last.name.empty() &&
+      order <= std::make_pair(last.incarnation, last.sequence))
+    return hello_news::stale;
+  const bool started =
+      last.name.empty() || last.incarnation != hello.incarnation;
+  if (started) {
+    peer.behind_since = {};
+    peer.pushed = {};
+  }
+  peer.hello = hello;
+  peer.heard = now;
+  for (const endpoint& other : hello.peers)
+    add_contact(now, other);
+  return started ? hello_news::started : hello_news::known;
+}
+
+void peer_table::take_turns(const std::vector<endpoint>& from,
+                            size_t count,
+                            size_t* turn,
+                            std::vector<endpoint>* out) const {
+  for (size_t i = 0; i < std::min(count, from.size()); ++i)
+    out->push_back(from[(*turn)++ % from.size()]);
+}
+
+std::vector<endpoint> peer_table::next_round(time_us now) {
+  std::vector<endpoint> own;
+  std::vector<endpoint> other;
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const known_peer& peer = it->second;
+    if (now - std::max(peer.heard, peer.added) >= options_.forget_time) {
+      it = peers_.erase(it);
+      continue;
+    }
+    (peer.hello.zone == options_.zone ? own : other).push_back(it->first);
+    ++it;
+  }
+  std::vector<endpoint> out;
+  take_turns(own, options_.own_zone_fanout, &own_turn_, &out);
+  take_turns(other, options_.other_zone_fanout, &other_turn_, &out);
+  return out;
+}
+
+std::vector<endpoint> peer_table::all() const {
+  std::vector<endpoint> out;
+  for (const auto& [address, peer] : peers_)
+    out.push_back(address);
+  return out;
+}
+
+std::vector<endpoint> peer_table::some_alive(time_us now) {
+  std::vector<endpoint> alive;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.hello.name.empty() && now - peer.heard < options_.alive_time)
+      alive.push_back(address);
+  }
+  std::vector<endpoint> out;
+  take_turns(alive, options_.shared_peers, &share_turn_, &out);
+  return out;
+}
+
+std::vector<uint64_t> peer_table::alive_ids(time_us now) const {
+  std::vector<uint64_t> out;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.hello.name.empty() && !peer.hello.leaving &&
+        now - peer.heard < options_.alive_time)
+      out.push_back(hash_name(peer.hello.name));
+  }
+  return out;
+}
+
+known_peer* peer_table::find(endpoint address) {
+  const auto it = peers_.find(address);
+  return it == peers_.end() ? nullptr : &it->second;
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/src/placement.cpp
@@ -0,0 +1,162 @@
+/** @file placement.cpp Choice of targets for new flows. */
+#include "turmeric/coordination/placement_base.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace turmeric {
+namespace {
+
+/** Doublings after which the time of a doubt grows no further. */
+constexpr uint32_t max_doublings = 8;
+/** Balancers that may send flows to one cold target. Two, so that one that is
+ * gone leaves another. */
+constexpr int cold_owners = 2;
+/** Part of a cold target's bound that an owner uses: two views of who the
+ * owners are together make four, and one flow may arrive a little late. */
+constexpr double cold_divisor = 5.0;
+
+}  // namespace
+
+placement::placement(placement_options options, random_source random)
+    : options_(std::move(options)), random_(std::move(random)) {}
+
+double placement::cost_of(time_us now, const forwarding_target& target) const {
+  double cost =
+      target.entry.zone == options_.zone ? 0.0 : options_.other_zone_cost;
+  const auto it = evidence_.find(target.token);
+  if (it == evidence_.end())
+    return cost;
+  const evidence& e = it->second;
+  cost += static_cast<double>(e.in_hand) / target.entry.slots;
+  if (now < e.doubted_until || e.probing)
+    cost += options_.doubt_cost * std::min(e.failures, max_doublings);
+  return cost;
+}
+
+const forwarding_target* placement::cheapest(
+    time_us now,
+    const std::vector<const forwarding_target*>& candidates,
+    bool cold,
+    flow_token avoid,
+    double* cost) {
+  const forwarding_target* best = nullptr;
+  uint64_t ties = 0;
+  *cost = std::numeric_limits<double>::infinity();
+  for (const auto* target : candidates) {
+    if (now >= target->openings_until || target->token == avoid)
+      continue;
+    if (cold != (now < target->entry.cold_until))
+      continue;
+    if (cold && !cold_allowed(now, *target))
+      continue;
+    const double c = cost_of(now, *target);
+    if (c > *cost)
+      continue;
+    ties = c < *cost ? 1 : ties + 1;
+    *cost = c;
+    if (ties == 1 || random_() % ties == 0)
+      best = target;
+  }
+  return best;
+}
+
+bool placement::owns_cold(flow_token token) const {
+  const uint64_t own = hash_pair(token, self_);
+  const auto before = [&](uint64_t other) {
+    return hash_pair(token, other) < own;
+  };
+  return std::count_if(others_.begin(), others_.end(), before) < cold_owners;
+}
+
+time_us placement::cold_interval(const forwarding_target& target) const {
+  const double bound =
+      target.cold_per_s * options_.cold_overage + options_.cold_slack;
+  const double rate = bound / cold_divisor;
+  return rate <= 0 ? INT64_MAX / 2 : static_cast<time_us>(us_per_s / rate);
+}
+
+bool placement::cold_allowed(time_us now, const forwarding_target& target) {
+  const auto it = evidence_.find(target.token);
+  const bool due = it == evidence_.end() || now >= it->second.cold_next;
+  return due && owns_cold(target.token);
+}
+
+void placement::set_balancers(uint64_t self, std::vector<uint64_t> others) {
+  self_ = self;
+  others_ = std::move(others);
+}
+
+placement_choice placement::choose(time_us now,
+                                   const forwarding_table& table,
+                                   const std::string& service,
+                                   flow_token avoid) {
+  placement_choice choice;
+  const auto& candidates = table.openings_of(service);
+  choice.candidates = candidates.size();
+  choice.target = cheapest(now, candidates, false, avoid, &choice.cost);
+  if (choice.target == nullptr && avoid != 0)
+    choice.target = cheapest(now, candidates, false, 0, &choice.cost);
+  if (choice.target != nullptr)
+    return choice;
+  choice.target = cheapest(now, candidates, true, 0, &choice.cost);
+  if (choice.target != nullptr)
+    evidence_[choice.target->token].cold_next =
+        now + cold_interval(*choice.target);
+  return choice;
+}
+
+void placement::flow_opened(time_us now, flow_token token) {
+  evidence& e = evidence_[token];
+  ++e.in_hand;
+  if (e.failures != 0 && now >= e.doubted_until)
+    e.probing = true;
+}
+
+void placement::flow_ended(flow_token token) {
+  evidence& e = evidence_[token];
+  if (e.in_hand != 0)
+    --e.in_hand;
+}
+
+void placement::flow_resumed(flow_token token) {
+  ++evidence_[token].in_hand;
+}
+
+void placement::answered(flow_token token) {
+  evidence& e = evidence_[token];
+  e.failures = 0;
+  e.doubted_until = 0;
+  e.probing = false;
+}
+
+void placement::unanswered(time_us now, flow_token token) {
+  evidence& e = evidence_[token];
+  ++e.failures;
+  e.probing = false;
+  const uint32_t doublings = std::min(e.failures - 1, max_doublings);
+  e.doubted_until =
+      now + std::min(options_.doubt_time << doublings, options_.max_doubt_time);
+}
+
+uint32_t placement::in_hand(flow_token token) const {
+  const auto it = evidence_.find(token);
+  return it == evidence_.end() ? 0 : it->second.in_hand;
+}
+
+bool placement::doubted(time_us now, flow_token token) const {
+  const auto it = evidence_.find(token);
+  return it != evidence_.end() &&
+         (it->second.probing || now < it->second.doubted_until);
+}
+
+void placement::retain(const forwarding_table& table) {
+  for (auto it = evidence_.begin(); it != evidence_.end();) {
+    if (table.target_of(it->first) == nullptr)
+      it = evidence_.erase(it);
+    else
+      ++it;
+  }
+}
+
+}  // namespace turmeric
--- a/packages/protocol/include/turmeric/protocol/codec_func.h
+++ b/packages/protocol/include/turmeric/protocol/codec_func.h
@@ -12,6 +12,7 @@
 #include "turmeric/state/error_type.h"
 #include "turmeric/state/member_type.h"
 #include "turmeric/state/message_type.h"
+#include "turmeric/state/peer_message_type.h"
 
 namespace turmeric {
 
@@ -35,6 +36,9 @@
 /** Encodes a control datagram; signed if the context has a key. */
 std::string encode(const codec_context& context, const gossip_message& body);
 
+/** Encodes a peer message; signed if the context has a key. */
+std::string encode(const codec_context& context, const peer_message& body);
+
 /** Decodes a packet.
  * @return `bad_signature`, `wrong_cluster`, `format_too_new` or
  * `bad_packet`. */
@@ -47,6 +51,11 @@
                                      const char* data,
                                      size_t size);
 
+/** Decodes a peer message. Errors as for decode_packet(). */
+result<peer_message> decode_peer_message(const codec_context& context,
+                                         const char* data,
+                                         size_t size);
+
 /** @return The keyed tag of @p text in hex, for the operators' requests. */
 std::string tag_of(const codec_context& context, const std::string& text);
 
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -16,10 +16,11 @@
 /** Bounds on what a datagram may make the decoder allocate. */
 constexpr size_t max_items = 8192;
 constexpr size_t max_bytes = 65536;
-constexpr size_t max_depth = 8;
+constexpr size_t max_depth = 12;
 /** Kinds of datagrams that must not be taken for each other. */
 constexpr uint32_t packet_domain = 1;
 constexpr uint32_t gossip_domain = 2;
+constexpr uint32_t peer_domain = 3;
 
 std::string raw_tag(const codec_context& context,
                     const char* data,
@@ -89,13 +90,13 @@
   return boost::outcome_v2::success();
 }
 
-/** Converts the body to the packet's alternative number @p kind. */
-template <size_t I = 0>
-bool read_packet(uint32_t kind, const msgpack::object& o, packet* out) {
-  if constexpr (I < std::variant_size_v<packet>) {
+/** Converts the body to the variant's alternative number @p kind. */
+template <typename Variant, size_t I = 0>
+bool read_alternative(uint32_t kind, const msgpack::object& o, Variant* out) {
+  if constexpr (I < std::variant_size_v<Variant>) {
     if (kind != I)
-      return read_packet<I + 1>(kind, o, out);
-    std::variant_alternative_t<I, packet> body;
+      return read_alternative<Variant, I + 1>(kind, o, out);
+    std::variant_alternative_t<I, Variant> body;
     o.convert(body);
     *out = std::move(body);
     return true;
@@ -135,6 +136,15 @@
       body);
 }
 
+std::string encode(const codec_context& context, const peer_message& body) {
+  return std::visit(
+      [&](const auto& m) {
+        return encode_body(context, peer_domain,
+                           static_cast<uint32_t>(body.index()), m);
+      },
+      body);
+}
+
 std::string encode(const codec_context& context, const gossip_message& body) {
   return encode_body(context, gossip_domain, 0, body);
 }
@@ -145,7 +155,7 @@
   packet out;
   auto opened = open_envelope(context, packet_domain, data, size,
                               [&](uint32_t kind, const msgpack::object& o) {
-                                return read_packet(kind, o, &out);
+                                return read_alternative(kind, o, &out);
                               });
   if (!opened)
     return boost::outcome_v2::failure(opened.error());
@@ -166,6 +176,19 @@
   return out;
 }
 
+result<peer_message> decode_peer_message(const codec_context& context,
+                                         const char* data,
+                                         size_t size) {
+  peer_message out;
+  auto opened = open_envelope(context, peer_domain, data, size,
+                              [&](uint32_t kind, const msgpack::object& o) {
+                                return read_alternative(kind, o, &out);
+                              });
+  if (!opened)
+    return boost::outcome_v2::failure(opened.error());
+  return out;
+}
+
 std::string tag_of(const codec_context& context, const std::string& text) {
   const std::string tag = raw_tag(context, text.data(), text.size());
   std::string out;
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -12,6 +12,7 @@
 
 #include "turmeric/state/member_type.h"
 #include "turmeric/state/message_type.h"
+#include "turmeric/state/peer_message_type.h"
 
 namespace turmeric {
 
@@ -121,6 +122,46 @@
                 m.delta,
                 m.fragment,
                 m.fragments)
+TURMERIC_FIELDS(directory_mark, m.revision, m.digest)
+TURMERIC_FIELDS(target_entry,
+                m.name,
+                m.number,
+                m.service,
+                m.zone,
+                m.address,
+                m.slots,
+                m.draining,
+                m.started,
+                m.cold_until,
+                m.created)
+TURMERIC_FIELDS(weighted_service, m.service, m.weight)
+TURMERIC_FIELDS(route_entry,
+                m.name,
+                m.address,
+                m.kind,
+                m.timeout,
+                m.latency_objective,
+                m.priority,
+                m.services)
+TURMERIC_FIELDS(service_entry, m.name, m.max_flows, m.cold_per_s)
+TURMERIC_FIELDS(routing_entry, m.version, m.routes, m.services, m.idle_timeout)
+TURMERIC_FIELDS(peer_hello,
+                m.name,
+                m.zone,
+                m.address,
+                m.incarnation,
+                m.sequence,
+                m.leaving,
+                m.marks,
+                m.peers)
+TURMERIC_FIELDS(peer_directory,
+                m.to_incarnation,
+                m.kind,
+                m.revision,
+                m.names,
+                m.revisions,
+                m.targets,
+                m.routings)
 
 #undef TURMERIC_FIELDS
 
--- a/packages/state/include/turmeric/state/log_func.h
+++ b/packages/state/include/turmeric/state/log_func.h
@@ -1,11 +1,12 @@
-/** @file log_func.h Structured logs: one JSON object a line, on stderr. */
+/** @file log_func.h Structured logs: one JSON object a line, on standard
+ * output. */
 #ifndef TURMERIC_STATE_LOG_FUNC_H_
 #define TURMERIC_STATE_LOG_FUNC_H_
 
-#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace turmeric {
 
@@ -34,13 +35,13 @@
 void set_log_instance(std::string name);
 
 /** A named value of a log line. */
-using log_field = std::pair<std::string_view, std::string>;
+using log_field = std::pair<std::string, std::string>;
 
 /** Writes one line unless the category's level is higher. */
 void log(log_category category,
          log_level level,
          std::string_view message,
-         std::initializer_list<log_field> fields = {});
+         const std::vector<log_field>& fields = {});
 
 /** Lets a few events a second through and counts the rest. */
 class log_limiter {
--- /dev/null
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -0,0 +1,50 @@
+/** @file peer_message_type.h Messages between balancers that share what they
+ * know of the registry. */
+#ifndef TURMERIC_STATE_PEER_MESSAGE_TYPE_H_
+#define TURMERIC_STATE_PEER_MESSAGE_TYPE_H_
+
+#include <array>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "turmeric/state/directory_type.h"
+
+namespace turmeric {
+
+/** How far a balancer knows one kind of directory entry. */
+struct directory_mark {
+  uint64_t revision = 0;  ///< Complete up to this; 0 if nothing is known.
+  uint64_t digest = 0;    ///< Of the names and revisions of all entries.
+};
+
+/** Heartbeat of a balancer. */
+struct peer_hello {
+  std::string name;
+  std::string zone;
+  endpoint address;          ///< Where peer messages reach it.
+  uint64_t incarnation = 0;  ///< Start of its process, Unix microseconds.
+  uint64_t sequence = 0;     ///< Counts its heartbeats from 1.
+  bool leaving = false;
+  std::array<directory_mark, directory_kinds> marks{};
+  std::vector<endpoint> peers;  ///< Some balancers that it knows.
+};
+
+/** All entries of one kind, for a peer that knows an older state. */
+struct peer_directory {
+  uint64_t to_incarnation = 0;  ///< Incarnation of the receiver.
+  directory_kind kind = directory_kind::targets;
+  uint64_t revision = 0;
+  std::vector<std::string> names;
+  std::vector<uint64_t> revisions;  ///< As long as `names`.
+  /** As long as `names`; for the entry's kind, of those that could be read. */
+  std::vector<target_entry> targets;
+  std::vector<routing_entry> routings;
+};
+
+/** Everything that travels between such balancers. */
+using peer_message = std::variant<peer_hello, peer_directory>;
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_STATE_PEER_MESSAGE_TYPE_H_
--- a/packages/state/include/turmeric/state/settings_base.h
+++ b/packages/state/include/turmeric/state/settings_base.h
@@ -23,7 +23,7 @@
 };
 
 /** How a setting's text is read. */
-enum class setting_kind { text, number };
+enum class setting_kind { text, number, decimal };
 
 /** A row of the settings table. */
 struct setting_row {
@@ -59,6 +59,9 @@
   /** @return The number of @p id. @pre Its kind is number. */
   int64_t number(setting id) const;
 
+  /** @return The value of @p id. @pre Its kind is decimal. */
+  double decimal(setting id) const;
+
   /** @return The number of @p id in milliseconds as microseconds. */
   time_us ms(setting id) const { return number(id) * us_per_ms; }
 
--- a/packages/state/src/log.cpp
+++ b/packages/state/src/log.cpp
@@ -81,7 +81,7 @@
 void log(log_category category,
          log_level level,
          std::string_view message,
-         std::initializer_list<log_field> fields) {
+         const std::vector<log_field>& fields) {
   if (level < levels()[static_cast<size_t>(category)])
     return;
   std::string line = fmt::format(
@@ -93,7 +93,10 @@
     line += fmt::format(R"(,"{}":{})", name,
                         Json::valueToQuotedString(value.c_str()));
   }
-  fmt::print(stderr, "{}}}\n", line);
+  line += "}\n";
+  // One call a line, so that lines of several threads do not mix.
+  std::fwrite(line.data(), 1, line.size(), stdout);
+  std::fflush(stdout);
 }
 
 bool log_limiter::allow(int64_t second) {
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -25,15 +25,39 @@
   return parsed.ec == std::errc() && parsed.ptr == end && !text.empty();
 }
 
+/** Parses a decimal number such as 1.5. */
+bool parse_decimal(const std::string& text, double* out) {
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, *out);
+  return parsed.ec == std::errc() && parsed.ptr == end && !text.empty();
+}
+
+/** Reads what the bounds of @p row apply to: a number or a length. */
+bool measure_of(const setting_row& row,
+                const std::string& value,
+                double* measure) {
+  if (row.kind == setting_kind::text) {
+    *measure = static_cast<double>(value.size());
+    return true;
+  }
+  if (row.kind == setting_kind::decimal)
+    return parse_decimal(value, measure);
+  int64_t whole = 0;
+  const bool read = parse_number(value, &whole);
+  *measure = static_cast<double>(whole);
+  return read;
+}
+
 result<void> check_value(const setting_row& row, const std::string& value) {
-  int64_t measure = static_cast<int64_t>(value.size());
-  const bool number = row.kind == setting_kind::number;
-  if (number && !parse_number(value, &measure)) {
+  double measure = 0;
+  const bool number = row.kind != setting_kind::text;
+  if (!measure_of(row, value, &measure)) {
     return fail(result_code::setting_out_of_range,
                 fmt::format("{}.{} is '{}', expected a number", row.section,
                             row.name, value));
   }
-  if (measure < row.min || measure > row.max) {
+  if (measure < static_cast<double>(row.min) ||
+      measure > static_cast<double>(row.max)) {
     return fail(
         result_code::setting_out_of_range,
         fmt::format("{}.{} is '{}', expected {} from {} to {}", row.section,
@@ -92,6 +116,12 @@
   return value;
 }
 
+double settings::decimal(setting id) const {
+  double value = 0;
+  parse_decimal(text(id), &value);
+  return value;
+}
+
 result<void> settings::check_complete() const {
   for (const auto& row : setting_table()) {
     auto checked = check_value(row, text(row.id));
--- a/packages/transport/include/turmeric/transport/clock_func.h
+++ b/packages/transport/include/turmeric/transport/clock_func.h
@@ -9,6 +9,9 @@
 /** @return Microseconds on the steady clock. */
 time_us steady_now();
 
+/** @return Microseconds on a clock that also counts time asleep. */
+time_us boot_now();
+
 /** @return Microseconds since the Unix epoch. */
 time_us wall_now();
 
--- a/packages/transport/src/clock.cpp
+++ b/packages/transport/src/clock.cpp
@@ -1,6 +1,8 @@
 /** @file clock.cpp System clocks and random numbers. */
 #include "turmeric/transport/clock_func.h"
 
+#include <time.h>
+
 #include <chrono>
 #include <memory>
 #include <random>
@@ -21,6 +23,13 @@
   return now_of<std::chrono::steady_clock>();
 }
 
+time_us boot_now() {
+  constexpr time_us ns_per_us = 1000;
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return now.tv_sec * us_per_s + now.tv_nsec / ns_per_us;
+}
+
 time_us wall_now() {
   return now_of<std::chrono::system_clock>();
 }
--- /dev/null
+++ b/packages/transport/src/forwarder.cpp
@@ -0,0 +1,394 @@
+/** @file forwarder.cpp Event loop of the forwarding mode. */
+#include "turmeric/transport/forwarder_base.h"
+
+#include <fmt/format.h>
+#include <sys/stat.h>
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <sstream>
+
+#include "directory_actor_internal.h"
+#include "turmeric/platform/registry_func.h"
+#include "turmeric/protocol/codec_func.h"
+#include "turmeric/state/log_func.h"
+#include "turmeric/state/service_type.h"
+#include "turmeric/transport/clock_func.h"
+#include "turmeric/transport/http_base.h"
+#include "turmeric/transport/segment_runner_base.h"
+
+namespace turmeric {
+namespace {
+
+namespace asio_ns = boost::asio;
+using udp = asio_ns::ip::udp;
+
+/** The process ends this long before the platform would kill it. */
+constexpr time_us stop_margin = 1500 * us_per_ms;
+/** How often the settings file is looked at; it may change unannounced. */
+constexpr auto settings_check_interval = std::chrono::seconds(2);
+constexpr size_t max_datagram = 65536;
+constexpr int drop_logs_per_second = 5;
+constexpr int http_unavailable = 503;
+constexpr int http_not_found = 404;
+
+/** Addresses of one balancer, read from its settings. */
+struct forwarder_addresses {
+  endpoint packets;
+  endpoint ready;
+  endpoint peers;
+  endpoint registry;
+};
+
+result<forwarder_addresses> addresses_of(const settings& s) {
+  forwarder_addresses out;
+  const std::array<std::pair<setting, endpoint*>, 4> wanted = {{
+      {setting::forwarding_packets, &out.packets},
+      {setting::forwarding_ready, &out.ready},
+      {setting::forwarding_peers, &out.peers},
+      {setting::forwarding_registry, &out.registry},
+  }};
+  for (const auto& [id, address] : wanted) {
+    auto parsed = parse_endpoint(s.text(id));
+    if (!parsed) {
+      const auto& row = setting_table()[static_cast<size_t>(id)];
+      return fail(result_code::setting_out_of_range,
+                  fmt::format("{}.{} is '{}', expected IP:PORT", row.section,
+                              row.name, s.text(id)));
+    }
+    *address = parsed.value();
+  }
+  return out;
+}
+
+/** Reads the seeds; each gets the port that all balancers use. */
+std::vector<endpoint> seeds_of(const settings& s, uint16_t port) {
+  std::vector<endpoint> out;
+  std::istringstream list(s.text(setting::forwarding_seeds));
+  std::string item;
+  while (std::getline(list, item, ',')) {
+    if (item.find(':') == std::string::npos)
+      item += ":1";
+    auto parsed = parse_endpoint(item);
+    if (parsed) {
+      out.push_back({parsed.value().ip, port});
+    } else {
+      log(log_category::control, log_level::warning, "seed is no address",
+          {{"seed", item}});
+    }
+  }
+  return out;
+}
+
+directory_options directory_options_of(const settings& s,
+                                       const forwarder_addresses& addresses) {
+  directory_options o;
+  o.peers.name = s.text(setting::instance_name);
+  o.peers.zone = s.text(setting::instance_zone);
+  o.peers.address = addresses.peers;
+  o.seeds = seeds_of(s, addresses.peers.port);
+  o.incarnation = static_cast<uint64_t>(wall_now());
+  o.keep_removed =
+      static_cast<time_us>(s.decimal(setting::forwarding_max_flow) * us_per_s);
+  return o;
+}
+
+forwarding_options forwarding_options_of(const settings& s) {
+  forwarding_options o;
+  o.placing.zone = s.text(setting::instance_zone);
+  o.placing.cold_overage = s.decimal(setting::forwarding_cold_overage);
+  o.placing.cold_slack = s.decimal(setting::forwarding_cold_slack);
+  return o;
+}
+
+/** Time of the last change of a file; 0 if it cannot be read. */
+int64_t changed_at(const std::string& path) {
+  struct stat info {};
+  if (stat(path.c_str(), &info) != 0)
+    return 0;
+  return info.st_mtim.tv_sec * us_per_s + info.st_mtim.tv_nsec;
+}
+
+/** Everything of one running balancer. */
+class forwarder {
+ public:
+  forwarder(const settings& options,
+            std::string settings_path,
+            settings_reader read_again,
+            codec_context peers,
+            const forwarder_addresses& addresses);
+
+  result<void> run();
+
+ private:
+  result<void> start();
+  result<void> bind_peers();
+  void receive_peers();
+  void on_datagram(const udp::endpoint& from, size_t size);
+  void execute(directory_core::actions actions);
+  void execute_one(const registry_call& call);
+  void execute_one(const send_peer_message& message);
+  void execute_one(publish_table& publication);
+  void execute_one(const directory_note& note);
+  http_response on_get(const std::string& target);
+  void wait_for_signal();
+  void on_signal(int number);
+  void begin_stop();
+  void wait_for_settings();
+  void reload(const char* cause);
+
+  settings settings_;
+  std::string settings_path_;
+  settings_reader read_again_;
+  int64_t settings_changed_ = 0;
+  codec_context context_;
+  forwarder_addresses addresses_;
+  uint64_t self_;
+  asio_ns::io_context loop_{1};
+  std::array<http_client, directory_kinds> registry_;
+  udp::socket peer_socket_{loop_};
+  std::vector<char> peer_buffer_;
+  udp::endpoint peer_from_;
+  http_server ready_server_;
+  asio_ns::signal_set signals_{loop_, SIGTERM, SIGINT, SIGHUP};
+  asio_ns::steady_timer stop_timer_{loop_};
+  asio_ns::steady_timer settings_timer_{loop_};
+  log_limiter drops_{drop_logs_per_second};
+  bool complete_ = false;
+  bool stopping_ = false;
+  segment_runner segments_;
+  directory_actor directory_;
+};
+
+forwarder::forwarder(const settings& options,
+                     std::string settings_path,
+                     settings_reader read_again,
+                     codec_context peers,
+                     const forwarder_addresses& addresses)
+    : settings_(options),
+      settings_path_(std::move(settings_path)),
+      read_again_(std::move(read_again)),
+      settings_changed_(changed_at(settings_path_)),
+      context_(std::move(peers)),
+      addresses_(addresses),
+      self_(hash_name(options.text(setting::instance_name))),
+      registry_{http_client(loop_, addresses.registry),
+                http_client(loop_, addresses.registry),
+                http_client(loop_, addresses.registry)},
+      peer_buffer_(max_datagram),
+      ready_server_(loop_, [this](const std::string& t) { return on_get(t); }),
+      segments_(addresses.packets,
+                forwarding_options_of(options),
+                system_random()),
+      directory_(directory_options_of(options, addresses),
+                 [this](directory_core::actions actions) {
+                   asio_ns::post(loop_,
+                                 [this, a = std::move(actions)]() mutable {
+                                   execute(std::move(a));
+                                 });
+                 }) {}
+
+result<void> forwarder::start() {
+  auto started = segments_.start();
+  if (started)
+    started = bind_peers();
+  if (started)
+    started = ready_server_.start(addresses_.ready);
+  if (!started)
+    return started;
+  directory_.start();
+  receive_peers();
+  wait_for_signal();
+  wait_for_settings();
+  return boost::outcome_v2::success();
+}
+
+result<void> forwarder::run() {
+  auto started = start();
+  if (!started)
+    return started;
+  log(log_category::control, log_level::info, "started",
+      {{"zone", settings_.text(setting::instance_zone)},
+       {"packets", to_text(addresses_.packets)},
+       {"registry", to_text(addresses_.registry)}});
+  loop_.run();
+  directory_.stop();
+  segments_.stop();
+  log(log_category::control, log_level::info, "stopped");
+  return boost::outcome_v2::success();
+}
+
+result<void> forwarder::bind_peers() {
+  boost::system::error_code code;
+  peer_socket_.open(udp::v4(), code);
+  if (!code) {
+    peer_socket_.bind(
+        {asio_ns::ip::address_v4(addresses_.peers.ip), addresses_.peers.port},
+        code);
+  }
+  if (!code)
+    peer_socket_.non_blocking(true, code);
+  if (code)
+    return fail(result_code::internal, "cannot bind UDP: " + code.message());
+  return boost::outcome_v2::success();
+}
+
+void forwarder::receive_peers() {
+  peer_socket_.async_receive_from(
+      asio_ns::buffer(peer_buffer_), peer_from_,
+      [this](const boost::system::error_code& code, size_t size) {
+        if (code == asio_ns::error::operation_aborted)
+          return;
+        // An ICMP refusal of an earlier send is reported here; it ends nothing.
+        if (!code)
+          on_datagram(peer_from_, size);
+        receive_peers();
+      });
+}
+
+void forwarder::on_datagram(const udp::endpoint& from, size_t size) {
+  auto decoded = decode_peer_message(context_, peer_buffer_.data(), size);
+  if (decoded) {
+    directory_.deliver(std::move(decoded.value()));
+    return;
+  }
+  if (!drops_.allow(steady_now() / us_per_s))
+    return;
+  log(log_category::control, log_level::warning, "peer message dropped",
+      {{"from", from.address().to_string()},
+       {"reason", to_text(decoded.error())},
+       {"suppressed", fmt::format("{}", drops_.take_suppressed())}});
+}
+
+void forwarder::execute(directory_core::actions actions) {
+  for (auto& action : actions)
+    std::visit([this](auto& a) { execute_one(a); }, action);
+}
+
+void forwarder::execute_one(const registry_call& call) {
+  http_client& client = registry_[static_cast<size_t>(call.kind)];
+  client.cancel_if_open();
+  client.get(platform::target_of(call), call.timeout,
+             [this, call](const http_answer& answer) {
+               registry_reply reply;
+               reply.id = call.id;
+               if (answer.status != 0) {
+                 reply = platform::read_reply(call, answer.status, answer.body,
+                                              boot_now());
+               }
+               directory_.deliver(std::move(reply));
+             });
+}
+
+void forwarder::execute_one(const send_peer_message& message) {
+  const std::string data = encode(context_, message.body);
+  boost::system::error_code code;
+  peer_socket_.send_to(
+      asio_ns::buffer(data),
+      {asio_ns::ip::address_v4(message.to.ip), message.to.port}, 0, code);
+  // A heartbeat that is not sent is like one that is lost.
+}
+
+void forwarder::execute_one(publish_table& publication) {
+  if (!complete_) {
+    complete_ = true;
+    log(log_category::control, log_level::info, "ready",
+        {{"routing_version",
+          fmt::format("{}", publication.table->routing_version())},
+         {"targets", fmt::format("{}", publication.table->targets().size())}});
+  }
+  segments_.publish(std::move(publication.table), self_,
+                    std::move(publication.balancers));
+}
+
+void forwarder::execute_one(const directory_note& note) {
+  log(log_category::control, log_level::info, note.message, note.fields);
+}
+
+http_response forwarder::on_get(const std::string& target) {
+  if (target != platform::ready_path)
+    return {http_not_found, "text/plain", ""};
+  const bool ready = complete_ && !stopping_;
+  return {ready ? 200 : http_unavailable, "text/plain", ""};
+}
+
+void forwarder::wait_for_signal() {
+  signals_.async_wait(
+      [this](const boost::system::error_code& code, int number) {
+        if (code)
+          return;
+        on_signal(number);
+        wait_for_signal();
+      });
+}
+
+void forwarder::on_signal(int number) {
+  if (number == SIGHUP)
+    reload("SIGHUP");
+  else
+    begin_stop();
+}
+
+void forwarder::begin_stop() {
+  if (stopping_)
+    return;
+  stopping_ = true;
+  log(log_category::control, log_level::info, "stopping");
+  directory_.leave();
+  const auto grace = static_cast<time_us>(
+      settings_.decimal(setting::forwarding_grace) * us_per_s);
+  // Flows move to other balancers once routers have seen two failed probes;
+  // until then their packets still come here.
+  stop_timer_.expires_after(std::chrono::microseconds(
+      std::max<time_us>(grace - stop_margin, grace / 2)));
+  stop_timer_.async_wait(
+      [this](const boost::system::error_code&) { loop_.stop(); });
+}
+
+void forwarder::wait_for_settings() {
+  settings_timer_.expires_after(settings_check_interval);
+  settings_timer_.async_wait([this](const boost::system::error_code& code) {
+    if (code)
+      return;
+    if (changed_at(settings_path_) != settings_changed_)
+      reload("file changed");
+    wait_for_settings();
+  });
+}
+
+void forwarder::reload(const char* cause) {
+  settings_changed_ = changed_at(settings_path_);
+  auto read = read_again_();
+  if (!read) {
+    log(log_category::control, log_level::error, "settings not reloaded",
+        {{"cause", cause}, {"reason", to_text(read.error())}});
+    return;
+  }
+  settings_ = std::move(read.value());
+  directory_.set_seeds(seeds_of(settings_, addresses_.peers.port));
+  log(log_category::control, log_level::info, "settings reloaded",
+      {{"cause", cause}});
+}
+
+}  // namespace
+
+result<void> run_forwarder(const settings& options,
+                           const std::string& settings_path,
+                           const settings_reader& read_again) {
+  auto context = make_codec_context(options.text(setting::instance_cluster),
+                                    options.text(setting::instance_key));
+  if (!context)
+    return boost::outcome_v2::failure(context.error());
+  auto addresses = addresses_of(options);
+  if (!addresses)
+    return boost::outcome_v2::failure(addresses.error());
+  forwarder f(options, settings_path, read_again, context.value(),
+              addresses.value());
+  return f.run();
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/transport/src/http_server.cpp
@@ -0,0 +1,137 @@
+/** @file http_server.cpp A small HTTP server for probes and operators. */
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <optional>
+
+#include "http_internal.h"
+#include "turmeric/transport/http_base.h"
+
+namespace turmeric {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = boost::asio::ip::tcp;
+
+/** A connection without a request for this long is closed: routers probe
+ * every half second. */
+constexpr auto idle_limit = std::chrono::seconds(15);
+/** Connections at once; more are closed, so that nobody can use up the
+ * process's descriptors. */
+constexpr size_t max_connections = 64;
+constexpr uint32_t max_header_bytes = 8192;
+constexpr uint64_t max_body_bytes = 4096;
+
+/** Serves one connection. */
+class session : public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket,
+          std::shared_ptr<http_server::handler> on_get,
+          std::shared_ptr<size_t> open)
+      : stream_(std::move(socket)),
+        on_get_(std::move(on_get)),
+        open_(std::move(open)) {
+    ++*open_;
+  }
+
+  ~session() { --*open_; }
+
+  void read() {
+    parser_.emplace();
+    parser_->header_limit(max_header_bytes);
+    parser_->body_limit(max_body_bytes);
+    stream_.expires_after(idle_limit);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const beast::error_code& code, size_t) {
+          if (!code)
+            self->answer();
+        });
+  }
+
+ private:
+  void answer() {
+    const auto& request = parser_->get();
+    http_response made{405, "text/plain", ""};
+    if (request.method() == http::verb::get)
+      made = (*on_get_)(std::string(request.target()));
+    response_ = {static_cast<http::status>(made.status), request.version()};
+    response_.set(http::field::content_type, made.type);
+    response_.keep_alive(request.keep_alive());
+    response_.body() = std::move(made.body);
+    response_.prepare_payload();
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const beast::error_code& code, size_t) {
+          if (!code && self->response_.keep_alive())
+            self->read();
+        });
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<http_server::handler> on_get_;
+  std::shared_ptr<size_t> open_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+};
+
+}  // namespace
+
+/** The listening socket. */
+struct http_server::impl : std::enable_shared_from_this<impl> {
+  impl(boost::asio::io_context& loop, handler hook)
+      : acceptor(loop), on_get(std::make_shared<handler>(std::move(hook))) {}
+
+  void accept() {
+    acceptor.async_accept([self = shared_from_this()](
+                              const beast::error_code& code,
+                              tcp::socket socket) {
+      if (code == boost::asio::error::operation_aborted)
+        return;
+      if (!code && *self->open < max_connections) {
+        set_liveness(socket);
+        std::make_shared<session>(std::move(socket), self->on_get, self->open)
+            ->read();
+      }
+      self->accept();
+    });
+  }
+
+  tcp::acceptor acceptor;
+  std::shared_ptr<handler> on_get;
+  std::shared_ptr<size_t> open = std::make_shared<size_t>(0);
+};
+
+http_server::http_server(boost::asio::io_context& loop, handler on_get)
+    : impl_(std::make_shared<impl>(loop, std::move(on_get))) {}
+
+http_server::~http_server() {
+  beast::error_code ignored;
+  impl_->acceptor.close(ignored);
+}
+
+result<void> http_server::start(endpoint local) {
+  beast::error_code code;
+  auto& acceptor = impl_->acceptor;
+  acceptor.open(tcp::v4(), code);
+  if (!code)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+  if (!code)
+    acceptor.bind({boost::asio::ip::address_v4(local.ip), local.port}, code);
+  if (!code)
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
+  if (code)
+    return fail(result_code::internal, "cannot listen: " + code.message());
+  impl_->accept();
+  return boost::outcome_v2::success();
+}
+
+uint16_t http_server::port() const {
+  beast::error_code ignored;
+  return impl_->acceptor.local_endpoint(ignored).port();
+}
+
+}  // namespace turmeric
--- /dev/null
+++ b/packages/transport/src/segment_runner.cpp
@@ -0,0 +1,214 @@
+/** @file segment_runner.cpp Event loop of the traffic thread. */
+#include "turmeric/transport/segment_runner_base.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include "turmeric/platform/segment_func.h"
+#include "turmeric/state/log_func.h"
+#include "turmeric/transport/clock_func.h"
+
+namespace turmeric {
+namespace {
+
+/** Datagrams handled in one system call. */
+constexpr int batch_size = 32;
+/** Room for the largest packet and one byte more, which shows a longer one. */
+constexpr size_t packet_room =
+    platform::header_bytes + platform::max_data_bytes + 1;
+constexpr int receive_buffer_bytes = 1 << 20;
+/** Longest sleep of the thread without anything to do. */
+constexpr time_us longest_wait = 10 * us_per_s;
+
+sockaddr_in to_sockaddr(endpoint e) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(e.port);
+  out.sin_addr.s_addr = htonl(e.ip);
+  return out;
+}
+
+error system_error(const char* what) {
+  return error{result_code::internal,
+               std::string(what) + ": " + std::strerror(errno), "", 0};
+}
+
+}  // namespace
+
+/** Buffers of one round of receiving and sending. */
+struct segment_runner::batch {
+  /** A datagram with room for the prefix that names its target. */
+  using buffer = std::array<uint8_t, platform::prefix_bytes + packet_room>;
+
+  std::array<buffer, batch_size> buffers;
+  std::array<std::array<uint8_t, platform::header_bytes>, batch_size> resets;
+  std::array<iovec, batch_size> in_parts{};
+  std::array<mmsghdr, batch_size> in{};
+  std::array<iovec, batch_size> out_parts{};
+  std::array<sockaddr_in, batch_size> out_addresses{};
+  std::array<mmsghdr, batch_size> out{};
+  int sending = 0;
+
+  batch() {
+    for (size_t i = 0; i < batch_size; ++i) {
+      in_parts[i] = {buffers[i].data() + platform::prefix_bytes, packet_room};
+      in[i].msg_hdr.msg_iov = &in_parts[i];
+      in[i].msg_hdr.msg_iovlen = 1;
+      out[i].msg_hdr.msg_iov = &out_parts[i];
+      out[i].msg_hdr.msg_iovlen = 1;
+      out[i].msg_hdr.msg_name = &out_addresses[i];
+      out[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
+  }
+
+  void add(endpoint to, void* data, size_t size) {
+    out_parts[sending] = {data, size};
+    out_addresses[sending] = to_sockaddr(to);
+    ++sending;
+  }
+
+  /** Sends what was added; what the system does not take is lost, as on any
+   * full link, and callers repeat it. */
+  void flush(int socket) {
+    int done = 0;
+    while (done < sending) {
+      const int sent = sendmmsg(socket, &out[done],
+                                static_cast<unsigned>(sending - done), 0);
+      if (sent < 0 && errno == EINTR)
+        continue;
+      done += std::max(sent, 1);
+    }
+    sending = 0;
+  }
+};
+
+segment_runner::segment_runner(endpoint local,
+                               forwarding_options options,
+                               random_source random)
+    : local_(local), core_(std::move(options), std::move(random)) {}
+
+segment_runner::~segment_runner() {
+  stop();
+}
+
+result<void> segment_runner::start() {
+  socket_ = file_descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0));
+  if (!socket_.valid())
+    return boost::outcome_v2::failure(system_error("cannot open UDP"));
+  // The system may grant less; a burst then loses more.
+  setsockopt(socket_.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+             sizeof(receive_buffer_bytes));
+  const sockaddr_in address = to_sockaddr(local_);
+  if (bind(socket_.get(), reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) != 0)
+    return boost::outcome_v2::failure(system_error("cannot bind UDP"));
+  wake_ = file_descriptor(eventfd(0, EFD_NONBLOCK));
+  if (!wake_.valid())
+    return boost::outcome_v2::failure(system_error("cannot open eventfd"));
+  thread_ = std::thread([this] { run(); });
+  return boost::outcome_v2::success();
+}
+
+void segment_runner::publish(std::shared_ptr<const forwarding_table> table,
+                             uint64_t self,
+                             std::vector<uint64_t> balancers) {
+  auto next = std::make_unique<update>();
+  next->table = std::move(table);
+  next->self = self;
+  next->balancers = std::move(balancers);
+  const std::lock_guard<std::mutex> lock(update_mutex_);
+  update_ = std::move(next);
+}
+
+void segment_runner::take_update() {
+  std::unique_ptr<update> next;
+  {
+    const std::lock_guard<std::mutex> lock(update_mutex_);
+    next = std::move(update_);
+  }
+  if (next == nullptr)
+    return;
+  table_ = next->table;
+  core_.table(next->table);
+  core_.set_balancers(next->self, std::move(next->balancers));
+}
+
+forwarding_counters segment_runner::counters() {
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  return core_.counters();
+}
+
+int segment_runner::wait_ms() {
+  const time_us due = std::min(core_.next_tick() - boot_now(), longest_wait);
+  return static_cast<int>(std::max<time_us>(due, 0) / us_per_ms + 1);
+}
+
+void segment_runner::run() {
+  const auto b = std::make_unique<batch>();
+  std::array<pollfd, 2> waiting = {pollfd{socket_.get(), POLLIN, 0},
+                                   pollfd{wake_.get(), POLLIN, 0}};
+  while (!stopping_) {
+    poll(waiting.data(), waiting.size(), wait_ms());
+    const int count =
+        recvmmsg(socket_.get(), b->in.data(), batch_size, 0, nullptr);
+    const time_us now = boot_now();
+    const std::lock_guard<std::mutex> lock(core_mutex_);
+    take_update();
+    if (count > 0)
+      handle(now, b.get(), count);
+    // After a pause of this process, segments that waited go before timers:
+    // an answer among them must not count as missing.
+    if (count < batch_size)
+      core_.tick(now);
+  }
+}
+
+void segment_runner::handle(time_us now, batch* b, int count) {
+  last_segment_ = now;
+  for (int i = 0; i < count; ++i)
+    handle_one(now, b, i);
+  b->flush(socket_.get());
+}
+
+void segment_runner::handle_one(time_us now, batch* b, int index) {
+  uint8_t* data = b->buffers[index].data() + platform::prefix_bytes;
+  const size_t size = b->in[index].msg_len;
+  const auto s = platform::read_segment(data, size);
+  if (!s.has_value()) {
+    core_.count_malformed();
+    return;
+  }
+  const forwarding_decision decision = core_.on_segment(now, *s);
+  if (decision.act == forwarding_act::forward) {
+    platform::write_token(data, decision.target->token);
+    platform::write_prefix(b->buffers[index].data(),
+                           decision.target->entry.number);
+    b->add(decision.target->entry.address, b->buffers[index].data(),
+           size + platform::prefix_bytes);
+  } else if (decision.act == forwarding_act::reset) {
+    b->resets[index] = platform::make_reset(*s);
+    b->add({s->source.ip, local_.port}, b->resets[index].data(),
+           platform::header_bytes);
+  }
+}
+
+void segment_runner::stop() {
+  if (!thread_.joinable())
+    return;
+  stopping_ = true;
+  const uint64_t one = 1;
+  if (write(wake_.get(), &one, sizeof(one)) < 0) {
+    log(log_category::traffic, log_level::warning,
+        "cannot wake the traffic thread", {{"reason", std::strerror(errno)}});
+  }
+  thread_.join();
+}
+
+}  // namespace turmeric
