--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -50,8 +50,14 @@
 }
 
 bool directory_core::complete() const {
-  return std::all_of(followers_.begin(), followers_.end(),
-                     [](const follower& f) { return f.belief.loaded(); });
+  const bool loaded =
+      std::all_of(followers_.begin(), followers_.end(),
+                  [](const follower& f) { return f.belief.loaded(); });
+  const auto& routings = belief(directory_kind::routing).entries();
+  return loaded && std::any_of(routings.begin(), routings.end(),
+                               [](const auto& named) {
+                                 return named.second.value != nullptr;
+                               });
 }
 
 directory_core::follower* directory_core::waiting_for(uint64_t call,
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -52,8 +52,10 @@
   };
 
   void run();
+  void await_first_table();
   int wait_ms();
   void take_update();
+  void wake();
   void handle(time_us now, batch* b, int count);
   void handle_one(time_us now, batch* b, int index);
 
@@ -64,6 +66,7 @@
   forwarding_core core_;
   std::mutex update_mutex_;
   std::unique_ptr<update> update_;
+  bool published_ = false;  ///< Whether there has been a snapshot.
   /** Snapshot in use; actions of a batch point into it. */
   std::shared_ptr<const forwarding_table> table_;
   std::atomic<time_us> last_segment_{0};
--- a/packages/transport/src/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -161,7 +161,7 @@
   bool complete_ = false;
   bool stopping_ = false;
   segment_runner segments_;
-  directory_actor directory_;
+  std::unique_ptr<directory_actor> directory_;
 };
 
 forwarder::forwarder(const settings& options,
@@ -183,14 +183,7 @@
       ready_server_(loop_, [this](const std::string& t) { return on_get(t); }),
       segments_(addresses.packets,
                 forwarding_options_of(options),
-                system_random()),
-      directory_(directory_options_of(options, addresses),
-                 [this](directory_core::actions actions) {
-                   asio_ns::post(loop_,
-                                 [this, a = std::move(actions)]() mutable {
-                                   execute(std::move(a));
-                                 });
-                 }) {}
+                system_random()) {}
 
 result<void> forwarder::start() {
   auto started = segments_.start();
@@ -200,7 +193,15 @@
     started = ready_server_.start(addresses_.ready);
   if (!started)
     return started;
-  directory_.start();
+  // After the sockets are bound: packets that arrive meanwhile wait in them.
+  directory_ = std::make_unique<directory_actor>(
+      directory_options_of(settings_, addresses_),
+      [this](directory_core::actions actions) {
+        asio_ns::post(loop_, [this, a = std::move(actions)]() mutable {
+          execute(std::move(a));
+        });
+      });
+  directory_->start();
   receive_peers();
   wait_for_signal();
   wait_for_settings();
@@ -216,7 +217,7 @@
        {"packets", to_text(addresses_.packets)},
        {"registry", to_text(addresses_.registry)}});
   loop_.run();
-  directory_.stop();
+  directory_->stop();
   segments_.stop();
   log(log_category::control, log_level::info, "stopped");
   return boost::outcome_v2::success();
@@ -253,7 +254,7 @@
 void forwarder::on_datagram(const udp::endpoint& from, size_t size) {
   auto decoded = decode_peer_message(context_, peer_buffer_.data(), size);
   if (decoded) {
-    directory_.deliver(std::move(decoded.value()));
+    directory_->deliver(std::move(decoded.value()));
     return;
   }
   if (!drops_.allow(steady_now() / us_per_s))
@@ -280,7 +281,7 @@
                  reply = platform::read_reply(call, answer.status, answer.body,
                                               boot_now());
                }
-               directory_.deliver(std::move(reply));
+               directory_->deliver(std::move(reply));
              });
 }
 
@@ -338,7 +339,7 @@
     return;
   stopping_ = true;
   log(log_category::control, log_level::info, "stopping");
-  directory_.leave();
+  directory_->leave();
   const auto grace = static_cast<time_us>(
       settings_.decimal(setting::forwarding_grace) * us_per_s);
   // Flows move to other balancers once routers have seen two failed probes;
@@ -369,7 +370,7 @@
     return;
   }
   settings_ = std::move(read.value());
-  directory_.set_seeds(seeds_of(settings_, addresses_.peers.port));
+  directory_->set_seeds(seeds_of(settings_, addresses_.peers.port));
   log(log_category::control, log_level::info, "settings reloaded",
       {{"cause", cause}});
 }
--- a/packages/transport/src/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -26,6 +26,9 @@
 constexpr int receive_buffer_bytes = 1 << 20;
 /** Longest sleep of the thread without anything to do. */
 constexpr time_us longest_wait = 10 * us_per_s;
+/** Time for which packets wait in the socket for the first snapshot; later the
+ * callers have repeated them. */
+constexpr int first_table_wait_ms = 400;
 
 sockaddr_in to_sockaddr(endpoint e) {
   sockaddr_in out{};
@@ -125,6 +128,10 @@
   next->balancers = std::move(balancers);
   const std::lock_guard<std::mutex> lock(update_mutex_);
   update_ = std::move(next);
+  if (!published_) {
+    published_ = true;
+    wake();
+  }
 }
 
 void segment_runner::take_update() {
@@ -140,6 +147,20 @@
   core_.set_balancers(next->self, std::move(next->balancers));
 }
 
+void segment_runner::await_first_table() {
+  pollfd packet{socket_.get(), POLLIN, 0};
+  pollfd woken{wake_.get(), POLLIN, 0};
+  std::array<pollfd, 2> both = {packet, woken};
+  poll(both.data(), both.size(), -1);
+  if (both[1].revents == 0)
+    poll(&woken, 1, first_table_wait_ms);
+  uint64_t count = 0;
+  if (read(wake_.get(), &count, sizeof(count)) < 0 && errno != EAGAIN) {
+    log(log_category::traffic, log_level::warning, "cannot read eventfd",
+        {{"reason", std::strerror(errno)}});
+  }
+}
+
 forwarding_counters segment_runner::counters() {
   const std::lock_guard<std::mutex> lock(core_mutex_);
   return core_.counters();
@@ -154,6 +175,7 @@
   const auto b = std::make_unique<batch>();
   std::array<pollfd, 2> waiting = {pollfd{socket_.get(), POLLIN, 0},
                                    pollfd{wake_.get(), POLLIN, 0}};
+  await_first_table();
   while (!stopping_) {
     poll(waiting.data(), waiting.size(), wait_ms());
     const int count =
@@ -203,12 +225,16 @@
   if (!thread_.joinable())
     return;
   stopping_ = true;
+  wake();
+  thread_.join();
+}
+
+void segment_runner::wake() {
   const uint64_t one = 1;
   if (write(wake_.get(), &one, sizeof(one)) < 0) {
     log(log_category::traffic, log_level::warning,
         "cannot wake the traffic thread", {{"reason", std::strerror(errno)}});
   }
-  thread_.join();
 }
 
 }  // namespace turmeric
