--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -165,6 +165,7 @@
   time_us next_round_ = 0;
   time_us next_forget_ = 0;
   bool leaving_ = false;
+  bool published_ = false;  ///< Whether there has been a table.
   std::vector<uint64_t> published_balancers_;
 };
 
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -192,7 +192,8 @@
     }
     out->push_back(std::move(note));
   }
-  if (!changes.empty())
+  // Kinds without entries complete the first table too.
+  if (!changes.empty() || !published_)
     publish(now, out);
 }
 
@@ -249,6 +250,7 @@
 void directory_core::publish(time_us now, actions* out) {
   if (!complete())
     return;
+  published_ = true;
   published_balancers_ = peers_.alive_ids(now);
   out->push_back(
       publish_table{std::make_shared<const forwarding_table>(make_input()),
