--- a/packages/coordination/include/turmeric/coordination/directory_belief_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_belief_base.h
@@ -15,10 +15,15 @@
 /** An entry that is or was in the registry. */
 struct believed_entry {
   uint64_t revision = 0;
-  std::shared_ptr<const directory_value> value;  ///< Null if unreadable.
-  std::string problem;
+  /** The last one that could be read; null if none could. */
+  std::shared_ptr<const directory_value> value;
+  std::string problem;  ///< Why the newest value is unreadable, else empty.
   bool registered = true;
   time_us removed = 0;  ///< When the removal was learnt; microseconds, local.
+  uint64_t removed_revision = 0;  ///< At or before which it was removed.
+
+  /** @return Whether it is registered and its newest value was readable. */
+  bool usable() const { return registered && problem.empty(); }
 };
 
 /** A change of the belief, for the log. */
@@ -53,6 +58,9 @@
   /** Forgets entries that were removed long ago. */
   void forget_removed(time_us now);
 
+  /** @return The oldest revision from which all removals are still known. */
+  uint64_t complete_since() const { return complete_since_; }
+
   bool loaded() const { return mark_.revision != 0; }
   const directory_mark& mark() const { return mark_; }
   const std::map<std::string, believed_entry>& entries() const {
@@ -71,6 +79,7 @@
 
   time_us keep_removed_;
   directory_mark mark_;
+  uint64_t complete_since_ = 0;
   std::map<std::string, believed_entry> entries_;
 };
 
--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -17,20 +17,30 @@
 
 #include "turmeric/coordination/directory_belief_base.h"
 #include "turmeric/coordination/forwarding_table_base.h"
-#include "turmeric/coordination/peer_table_base.h"
+#include "turmeric/coordination/watch_duty_base.h"
 
 namespace turmeric {
 
 /** Times and bounds of the directory. */
 struct directory_options {
   peer_options peers;
+  watch_duty_options duty;
   std::vector<endpoint> seeds;
   uint64_t incarnation = 0;
   /** Longest wait of one watch: a connection that went silent is noticed
    * within it, below the bounds on changes, which are seconds. */
   time_us watch_wait = 2500 * us_per_ms;
+  /** The same where other balancers rely on it, which then have to notice too
+   * and step in. */
+  time_us duty_watch_wait = 1200 * us_per_ms;
+  /** A balancer that starts gives its peers this long to tell what they know
+   * before it asks the registry; several times a heartbeat's way. */
+  time_us peers_first = 30 * us_per_ms;
   /** Answers take this much longer than a watch's wait at most. */
   time_us watch_margin = 700 * us_per_ms;
+  /** Pause after a watch that brought changes, so that changes which come
+   * together cost one call; small against the bounds on changes. */
+  time_us watch_pause = 100 * us_per_ms;
   time_us list_timeout = 700 * us_per_ms;   ///< First one; then doubled.
   time_us max_list_timeout = 3 * us_per_s;  ///< For a slow registry.
   time_us retry_min = 100 * us_per_ms;      ///< First retry.
@@ -113,6 +123,7 @@
     time_us next_call = 0;
     uint32_t failures = 0;
     bool lost = false;  ///< The registry did not answer the last call.
+    duty_reason duty = duty_reason::small_zone;
     uint64_t list_revision = 0;
     std::vector<directory_change> listed;  ///< Pages so far.
   };
@@ -151,15 +162,23 @@
   void on(time_us now, const peer_hello& hello, actions* out);
   void on(time_us now, const peer_directory& directory, actions* out);
   void push_to(time_us now, known_peer* peer, actions* out);
+  void push_kind(time_us now,
+                 directory_kind kind,
+                 known_peer* peer,
+                 actions* out);
+  void push_change(time_us now, directory_kind kind, actions* out);
   peer_directory directory_for(time_us now,
                                directory_kind kind,
-                               uint64_t incarnation) const;
+                               const peer_hello& receiver) const;
+  bool in_contact(directory_kind kind) const;
+  bool must_call(time_us now, directory_kind kind);
   peer_hello make_hello(time_us now);
   void send_round(time_us now, actions* out);
 
   directory_options options_;
   random_source random_;
   peer_table peers_;
+  watch_duty duty_;
   std::vector<follower> followers_;
   /** Zones taken back at a revision that the targets are not yet known at:
    * their targets may have turned cold meanwhile. */
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -19,14 +19,24 @@
   /** Between two rounds of heartbeats; a peer that starts in a zone that is
    * cut off learns from it where its neighbours are. */
   time_us interval = 250 * us_per_ms;
+  /** Between two rounds once a round no longer reaches the whole zone, for the
+   * bound on control traffic. */
+  time_us large_interval = 500 * us_per_ms;
   size_t own_zone_fanout = 3;    ///< Heartbeats a round within the zone.
   size_t other_zone_fanout = 1;  ///< Heartbeats a round to other zones.
-  /** A peer silent for this long counts as gone. */
+  /** A peer silent for this long counts as gone; longer if a round of turns
+   * takes longer. */
   time_us alive_time = 2 * us_per_s;
+  /** Rounds of turns that a live peer may be silent for: two may be lost. */
+  int alive_turns = 3;
   /** A peer silent for this long is forgotten; above the length of usual
    * partitions and restarts. */
   time_us forget_time = 120 * us_per_s;
   size_t shared_peers = 8;  ///< Addresses passed on in a heartbeat.
+  /** Addresses tried a round that no heartbeat has come from yet. */
+  size_t contact_fanout = 8;
+  /** Such an address is tried again after this. */
+  time_us contact_retry = 2 * us_per_s;
 };
 
 /** A known balancer. */
@@ -34,6 +44,7 @@
   peer_hello hello;   ///< The last one; without a name if none came.
   time_us heard = 0;  ///< When it came.
   time_us added = 0;
+  time_us tried = 0;  ///< Last try while nothing has been heard of it.
   std::array<time_us, directory_kinds> behind_since{};  ///< 0 if it is not.
   std::array<time_us, directory_kinds> pushed{};
 };
@@ -52,8 +63,15 @@
   /** Takes a heartbeat. */
   hello_news on_hello(time_us now, const peer_hello& hello);
 
-  /** @return The addresses for the next round, in turn. */
-  std::vector<endpoint> next_round(time_us now);
+  /** @return The addresses for the next round, in turn.
+   * @param whole_zone Whether all known peers of the zone are among them. */
+  std::vector<endpoint> next_round(time_us now, bool whole_zone);
+
+  /** @return The time between rounds. */
+  time_us interval() const;
+
+  /** @return The live peers of the own zone that are not leaving. */
+  std::vector<const known_peer*> alive_in_zone(time_us now) const;
 
   /** @return Addresses of all known peers. */
   std::vector<endpoint> all() const;
@@ -70,6 +88,10 @@
   const std::map<endpoint, known_peer>& peers() const { return peers_; }
 
  private:
+  void forget_silent(time_us now);
+  std::vector<endpoint> due_contacts(time_us now);
+  bool alive(time_us now, const known_peer& peer) const;
+  void update_sizes();
   void take_turns(const std::vector<endpoint>& from,
                   size_t count,
                   size_t* turn,
@@ -77,6 +99,8 @@
 
   peer_options options_;
   std::map<endpoint, known_peer> peers_;
+  size_t own_zone_ = 0;    ///< Known peers of the zone.
+  size_t other_zone_ = 0;  ///< Known peers of other zones.
   size_t own_turn_ = 0;
   size_t other_turn_ = 0;
   size_t share_turn_ = 0;
--- a/packages/coordination/src/directory_belief.cpp
+++ b/packages/coordination/src/directory_belief.cpp
@@ -1,6 +1,7 @@
 /** @file directory_belief.cpp Merging of registry states. */
 #include "turmeric/coordination/directory_belief_base.h"
 
+#include <algorithm>
 #include <set>
 
 namespace turmeric {
@@ -20,7 +21,8 @@
   entry.revision = change.revision;
   entry.registered = true;
   entry.problem = change.problem;
-  entry.value = change.value;
+  if (change.value != nullptr)
+    entry.value = change.value;
   out->push_back({change.name, change.revision, false, change.problem});
 }
 
@@ -34,14 +36,17 @@
     return;
   it->second.registered = false;
   it->second.removed = now;
+  it->second.removed_revision = revision;
   out->push_back({name, revision, true, ""});
 }
 
 void directory_belief::advance(uint64_t revision) {
+  if (mark_.revision == 0)
+    complete_since_ = revision;
   mark_.revision = revision;
   mark_.digest = 0;
   for (const auto& [name, entry] : entries_) {
-    if (entry.registered)
+    if (entry.usable())
       mark_.digest ^= hash_pair(hash_name(name), entry.revision);
   }
 }
@@ -82,10 +87,12 @@
 void directory_belief::forget_removed(time_us now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const believed_entry& entry = it->second;
-    if (!entry.registered && now - entry.removed >= keep_removed_)
-      it = entries_.erase(it);
-    else
+    if (entry.registered || now - entry.removed < keep_removed_) {
       ++it;
+      continue;
+    }
+    complete_since_ = std::max(complete_since_, entry.removed_revision);
+    it = entries_.erase(it);
   }
 }
 
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -25,16 +25,21 @@
     : options_(std::move(options)),
       random_(std::move(random)),
       peers_(options_.peers),
+      duty_(options_.duty, options_.peers.name, options_.peers.zone),
       followers_(directory_kinds, follower(options_.keep_removed)) {}
 
 directory_core::actions directory_core::start(time_us now) {
   actions out;
   set_seeds(now, options_.seeds);
-  for (const directory_kind kind : call_order)
-    start_call(now, kind, &out);
+  for (const directory_kind kind : call_order) {
+    of(kind).next_call =
+        peers_.all().empty() ? now : now + options_.peers_first;
+    if (must_call(now, kind))
+      start_call(now, kind, &out);
+  }
   for (const endpoint& to : peers_.all())
     out.push_back(send_peer_message{to, make_hello(now)});
-  next_round_ = now + options_.peers.interval;
+  next_round_ = now + peers_.interval();
   next_forget_ = now + forget_interval;
   return out;
 }
@@ -86,8 +91,9 @@
         doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
   } else {
     call.revision = f.belief.mark().revision;
-    call.wait = options_.watch_wait;
-    call.timeout = options_.watch_wait + options_.watch_margin;
+    call.wait = duty_.zone_is_large(now, peers_) ? options_.duty_watch_wait
+                                                 : options_.watch_wait;
+    call.timeout = call.wait + options_.watch_margin;
   }
   f.next_call = now + call.timeout;
   out->push_back(call);
@@ -115,11 +121,35 @@
     page_arrived(now, kind, reply, &out);
   else
     changes_arrived(now, kind, reply, &out);
-  if (of(kind).call == 0)
-    start_call(now, kind, &out);
+  if (of(kind).call == 0) {
+    const bool burst =
+        of(kind).op == registry_op::watch && !reply.changes.empty();
+    of(kind).next_call = burst ? now + options_.watch_pause : now;
+    if (must_call(now, kind))
+      start_call(now, kind, &out);
+  }
   return out;
 }
 
+bool directory_core::in_contact(directory_kind kind) const {
+  const follower& f = followers_[static_cast<size_t>(kind)];
+  return f.op == registry_op::watch && !f.must_list && !f.lost &&
+         f.duty != duty_reason::served;
+}
+
+bool directory_core::must_call(time_us now, directory_kind kind) {
+  follower& f = of(kind);
+  if (f.call != 0 || now < f.next_call)
+    return false;
+  if (!f.belief.loaded() || f.must_list)
+    return true;
+  f.duty = duty_.decide(now, kind, peers_);
+  if (f.duty != duty_reason::served)
+    return true;
+  f.next_call = now + options_.duty.check_interval;
+  return false;
+}
+
 void directory_core::page_arrived(time_us now,
                                   directory_kind kind,
                                   const registry_reply& reply,
@@ -144,6 +174,8 @@
   follower& f = of(kind);
   const auto changes = f.belief.apply(now, reply.revision, reply.changes);
   believe(now, kind, "registry watch", changes, out);
+  if (!changes.empty())
+    push_change(now, kind, out);
 }
 
 void directory_core::call_failed(time_us now,
@@ -252,6 +284,9 @@
     known.registered = entry.registered;
     if (!entry.registered)
       known.openings_until = entry.removed + options_.lapse_grace;
+    // An entry that somebody overwrote names no target; open flows go on.
+    if (!entry.problem.empty())
+      known.openings_until = 0;
     input.targets.push_back(std::move(known));
   }
   for (const auto& [name, entry] : belief(directory_kind::routing).entries()) {
@@ -275,8 +310,7 @@
 directory_core::actions directory_core::tick(time_us now) {
   actions out;
   for (const directory_kind kind : call_order) {
-    follower& f = of(kind);
-    if (f.call == 0 && now >= f.next_call)
+    if (must_call(now, kind))
       start_call(now, kind, &out);
   }
   if (now >= next_round_)
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -26,6 +26,13 @@
     change.value = std::make_shared<const directory_value>(std::move(value));
     out.push_back(std::move(change));
   };
+  for (size_t i = 0; i < directory.removed_names.size(); ++i) {
+    directory_change change;
+    change.name = directory.removed_names[i];
+    change.revision = directory.removed_revisions[i];
+    change.removed = true;
+    out.push_back(std::move(change));
+  }
   for (size_t i = 0; i < directory.names.size(); ++i) {
     const std::string& name = directory.names[i];
     if (directory.kind == directory_kind::targets)
@@ -40,7 +47,8 @@
 
 bool well_formed(const peer_directory& directory) {
   const size_t count = directory.names.size();
-  if (directory.revisions.size() != count)
+  if (directory.revisions.size() != count ||
+      directory.removed_revisions.size() != directory.removed_names.size())
     return false;
   if (directory.kind == directory_kind::targets)
     return directory.targets.size() == count;
@@ -62,13 +70,19 @@
   for (size_t i = 0; i < directory_kinds; ++i)
     hello.marks[i] = followers_[i].belief.mark();
   hello.peers = peers_.some_alive(now);
+  for (uint32_t i = 0; i < directory_kinds; ++i) {
+    if (in_contact(static_cast<directory_kind>(i)))
+      hello.watching |= 1U << i;
+  }
   return hello;
 }
 
 void directory_core::send_round(time_us now, actions* out) {
-  next_round_ = now + options_.peers.interval;
-  for (const endpoint& to : peers_.next_round(now))
-    out->push_back(send_peer_message{to, make_hello(now)});
+  next_round_ = now + peers_.interval();
+  const peer_hello hello = make_hello(now);
+  // The others rely on hearing those that watch.
+  for (const endpoint& to : peers_.next_round(now, hello.watching != 0))
+    out->push_back(send_peer_message{to, hello});
   if (peers_.alive_ids(now) != published_balancers_)
     publish(now, out);
 }
@@ -104,7 +118,8 @@
 
 void directory_core::push_to(time_us now, known_peer* peer, actions* out) {
   for (size_t i = 0; i < directory_kinds; ++i) {
-    const directory_mark& own = followers_[i].belief.mark();
+    const auto kind = static_cast<directory_kind>(i);
+    const directory_mark& own = belief(kind).mark();
     const directory_mark& theirs = peer->hello.marks[i];
     if (own.revision <= theirs.revision ||
         (theirs.revision != 0 && own.digest == theirs.digest)) {
@@ -114,26 +129,56 @@
     if (peer->behind_since[i] == 0)
       peer->behind_since[i] = now;
     const bool waited = now - peer->behind_since[i] >= options_.push_patience;
-    if (theirs.revision != 0 && !waited)
-      continue;
-    if (peer->pushed[i] != 0 && now - peer->pushed[i] < options_.push_patience)
+    const bool pushed_lately =
+        peer->pushed[i] != 0 && now - peer->pushed[i] < options_.push_patience;
+    if ((theirs.revision == 0 || waited) && !pushed_lately)
+      push_kind(now, kind, peer, out);
+  }
+}
+
+void directory_core::push_kind(time_us now,
+                               directory_kind kind,
+                               known_peer* peer,
+                               actions* out) {
+  peer->pushed[static_cast<size_t>(kind)] = now;
+  out->push_back(send_peer_message{peer->hello.address,
+                                   directory_for(now, kind, peer->hello)});
+}
+
+void directory_core::push_change(time_us now,
+                                 directory_kind kind,
+                                 actions* out) {
+  if (!duty_.zone_is_large(now, peers_))
+    return;
+  for (const known_peer* live : peers_.alive_in_zone(now)) {
+    if (watches(live->hello, kind))
       continue;
-    peer->pushed[i] = now;
-    out->push_back(send_peer_message{
-        peer->hello.address, directory_for(now, static_cast<directory_kind>(i),
-                                           peer->hello.incarnation)});
+    known_peer* peer = peers_.find(live->hello.address);
+    push_kind(now, kind, peer, out);
+    // Its next heartbeat tells whether this arrived.
+    peer->hello.marks[static_cast<size_t>(kind)] = belief(kind).mark();
   }
 }
 
 peer_directory directory_core::directory_for(time_us now,
                                              directory_kind kind,
-                                             uint64_t incarnation) const {
+                                             const peer_hello& receiver) const {
+  const directory_belief& known = belief(kind);
+  const uint64_t theirs = receiver.marks[static_cast<size_t>(kind)].revision;
   peer_directory out;
-  out.to_incarnation = incarnation;
+  out.to_incarnation = receiver.incarnation;
   out.kind = kind;
-  out.revision = belief(kind).mark().revision;
-  for (const auto& [name, entry] : belief(kind).entries()) {
-    if (!entry.registered || entry.value == nullptr)
+  out.revision = known.mark().revision;
+  out.from_revision = theirs >= known.complete_since() ? theirs : 0;
+  for (const auto& [name, entry] : known.entries()) {
+    if (!entry.registered) {
+      if (out.from_revision != 0 && entry.removed_revision > theirs) {
+        out.removed_names.push_back(name);
+        out.removed_revisions.push_back(entry.removed_revision);
+      }
+      continue;
+    }
+    if (!entry.usable() || entry.revision <= out.from_revision)
       continue;
     out.names.push_back(name);
     out.revisions.push_back(entry.revision);
@@ -152,8 +197,12 @@
       !well_formed(directory))
     return;
   follower& f = of(directory.kind);
-  const auto changes =
-      f.belief.replace(now, directory.revision, changes_of(now, directory));
+  if (directory.from_revision > f.belief.mark().revision)
+    return;  // Changes in between are missing; heartbeats bring them.
+  const auto received = changes_of(now, directory);
+  const auto changes = directory.from_revision == 0
+                           ? f.belief.replace(now, directory.revision, received)
+                           : f.belief.apply(now, directory.revision, received);
   believe(now, directory.kind, "peer", changes, out);
   // An open watch goes on from an older revision; its answer is complete only
   // from there and is older than what is known now, or adds to it.
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -33,6 +33,7 @@
   }
   peer.hello = hello;
   peer.heard = now;
+  update_sizes();
   for (const endpoint& other : hello.peers)
     add_contact(now, other);
   return started ? hello_news::started : hello_news::known;
@@ -46,20 +47,75 @@
     out->push_back(from[(*turn)++ % from.size()]);
 }
 
-std::vector<endpoint> peer_table::next_round(time_us now) {
-  std::vector<endpoint> own;
-  std::vector<endpoint> other;
+time_us peer_table::interval() const {
+  return own_zone_ > options_.own_zone_fanout ? options_.large_interval
+                                              : options_.interval;
+}
+
+bool peer_table::alive(time_us now, const known_peer& peer) const {
+  if (peer.hello.name.empty() || peer.hello.leaving)
+    return false;
+  const bool own = peer.hello.zone == options_.zone;
+  const size_t count = own ? own_zone_ : other_zone_;
+  const size_t fanout =
+      own ? options_.own_zone_fanout : options_.other_zone_fanout;
+  const auto rounds = static_cast<time_us>((count + fanout - 1) / fanout);
+  const time_us turns = options_.alive_turns * rounds * interval();
+  return now - peer.heard < std::max(options_.alive_time, turns);
+}
+
+void peer_table::update_sizes() {
+  own_zone_ = static_cast<size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [this](const auto& named) {
+        return named.second.hello.zone == options_.zone;
+      }));
+  other_zone_ = peers_.size() - own_zone_;
+}
+
+std::vector<const known_peer*> peer_table::alive_in_zone(time_us now) const {
+  std::vector<const known_peer*> out;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.hello.zone == options_.zone && alive(now, peer))
+      out.push_back(&peer);
+  }
+  return out;
+}
+
+void peer_table::forget_silent(time_us now) {
   for (auto it = peers_.begin(); it != peers_.end();) {
     const known_peer& peer = it->second;
-    if (now - std::max(peer.heard, peer.added) >= options_.forget_time) {
-      it = peers_.erase(it);
-      continue;
-    }
-    (peer.hello.zone == options_.zone ? own : other).push_back(it->first);
-    ++it;
+    const bool silent =
+        now - std::max(peer.heard, peer.added) >= options_.forget_time;
+    it = silent ? peers_.erase(it) : std::next(it);
   }
+  update_sizes();
+}
+
+std::vector<endpoint> peer_table::due_contacts(time_us now) {
   std::vector<endpoint> out;
-  take_turns(own, options_.own_zone_fanout, &own_turn_, &out);
+  for (auto& [address, peer] : peers_) {
+    if (out.size() == options_.contact_fanout)
+      break;
+    if (!peer.hello.name.empty() ||
+        (peer.tried != 0 && now - peer.tried < options_.contact_retry))
+      continue;
+    peer.tried = now;
+    out.push_back(address);
+  }
+  return out;
+}
+
+std::vector<endpoint> peer_table::next_round(time_us now, bool whole_zone) {
+  forget_silent(now);
+  std::vector<endpoint> own;
+  std::vector<endpoint> other;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.hello.name.empty())
+      (peer.hello.zone == options_.zone ? own : other).push_back(address);
+  }
+  std::vector<endpoint> out = due_contacts(now);
+  take_turns(own, whole_zone ? own.size() : options_.own_zone_fanout,
+             &own_turn_, &out);
   take_turns(other, options_.other_zone_fanout, &other_turn_, &out);
   return out;
 }
@@ -72,21 +128,20 @@
 }
 
 std::vector<endpoint> peer_table::some_alive(time_us now) {
-  std::vector<endpoint> alive;
+  std::vector<endpoint> reachable;
   for (const auto& [address, peer] : peers_) {
-    if (!peer.hello.name.empty() && now - peer.heard < options_.alive_time)
-      alive.push_back(address);
+    if (alive(now, peer))
+      reachable.push_back(address);
   }
   std::vector<endpoint> out;
-  take_turns(alive, options_.shared_peers, &share_turn_, &out);
+  take_turns(reachable, options_.shared_peers, &share_turn_, &out);
   return out;
 }
 
 std::vector<uint64_t> peer_table::alive_ids(time_us now) const {
   std::vector<uint64_t> out;
   for (const auto& [address, peer] : peers_) {
-    if (!peer.hello.name.empty() && !peer.hello.leaving &&
-        now - peer.heard < options_.alive_time)
+    if (alive(now, peer))
       out.push_back(hash_name(peer.hello.name));
   }
   return out;
--- /dev/null
+++ b/packages/coordination/src/watch_duty.cpp
@@ -0,0 +1,46 @@
+/** @file watch_duty.cpp Ranks of a zone's balancers for the watches. */
+#include "turmeric/coordination/watch_duty_base.h"
+
+#include <algorithm>
+
+namespace turmeric {
+
+watch_duty::watch_duty(watch_duty_options options,
+                       std::string name,
+                       std::string zone)
+    : options_(options), name_(std::move(name)), zone_(std::move(zone)) {}
+
+bool watch_duty::zone_is_large(time_us now, const peer_table& peers) const {
+  return peers.alive_in_zone(now).size() + 1 > options_.all_watch;
+}
+
+duty_reason watch_duty::decide(time_us now,
+                               directory_kind kind,
+                               const peer_table& peers) {
+  const auto others = peers.alive_in_zone(now);
+  if (others.size() + 1 <= options_.all_watch)
+    return duty_reason::small_zone;
+  const auto index = static_cast<size_t>(kind);
+  const auto weight = [&](const std::string& name) {
+    return hash_pair(hash_name(name), index);
+  };
+  const uint64_t own = weight(name_);
+  size_t rank = 0;
+  for (const known_peer* peer : others) {
+    if (weight(peer->hello.name) < own)
+      ++rank;
+    if (watches(peer->hello, kind))
+      served_[index] = std::max(served_[index], peer->heard);
+  }
+  if (served_[index] == 0)
+    served_[index] = now;  // Just started: others are about to be heard.
+  if (rank < options_.watchers)
+    return duty_reason::chosen;
+  const size_t steps = std::min(rank - options_.watchers, options_.max_steps);
+  const time_us patience =
+      options_.served_time + static_cast<time_us>(steps) * options_.step;
+  return now - served_[index] >= patience ? duty_reason::stepped_in
+                                          : duty_reason::served;
+}
+
+}  // namespace turmeric
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -153,13 +153,17 @@
                 m.sequence,
                 m.leaving,
                 m.marks,
-                m.peers)
+                m.peers,
+                m.watching)
 TURMERIC_FIELDS(peer_directory,
                 m.to_incarnation,
                 m.kind,
+                m.from_revision,
                 m.revision,
                 m.names,
                 m.revisions,
+                m.removed_names,
+                m.removed_revisions,
                 m.targets,
                 m.routings)
 
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -28,15 +28,27 @@
   bool leaving = false;
   std::array<directory_mark, directory_kinds> marks{};
   std::vector<endpoint> peers;  ///< Some balancers that it knows.
+  /** A bit for each kind that it watches in the registry, in contact. */
+  uint32_t watching = 0;
 };
 
-/** All entries of one kind, for a peer that knows an older state. */
+/** @return Whether the sender of @p hello watches @p kind. */
+inline bool watches(const peer_hello& hello, directory_kind kind) {
+  return (hello.watching >> static_cast<uint32_t>(kind) & 1) != 0;
+}
+
+/** Entries of one kind, for a peer that knows an older state. */
 struct peer_directory {
   uint64_t to_incarnation = 0;  ///< Incarnation of the receiver.
   directory_kind kind = directory_kind::targets;
+  /** The entries are those changed after this; 0 if they are all. */
+  uint64_t from_revision = 0;
   uint64_t revision = 0;
   std::vector<std::string> names;
   std::vector<uint64_t> revisions;  ///< As long as `names`.
+  /** Entries removed after `from_revision`, and when. */
+  std::vector<std::string> removed_names;
+  std::vector<uint64_t> removed_revisions;  ///< As long as `removed_names`.
   /** As long as `names`; for the entry's kind, of those that could be read. */
   std::vector<target_entry> targets;
   std::vector<routing_entry> routings;
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -93,6 +93,10 @@
              uint64_t revision,
              std::vector<directory_change> changes,
              registry_status status = registry_status::ok) {
+    // After changes the next watch starts a little later.
+    if (call(kind).id == answered[static_cast<size_t>(kind)])
+      advance(directory_options().watch_pause);
+    answered[static_cast<size_t>(kind)] = call(kind).id;
     registry_reply r;
     r.id = call(kind).id;
     r.status = status;
@@ -123,6 +127,7 @@
   time_us now = 1000 * us_per_s;
   directory_core core;
   std::array<registry_call, directory_kinds> calls;
+  std::array<uint64_t, directory_kinds> answered{};
   std::vector<send_peer_message> messages;
   std::vector<std::string> notes;
   std::shared_ptr<const forwarding_table> table;
@@ -166,6 +171,7 @@
   f.take(f.core.on_reply(f.now, page));
   BOOST_TEST(f.call(directory_kind::targets).after == "i-1");
   f.reply(directory_kind::targets, 25, {entry("i-2", 4, make_target("i-2"))});
+  f.advance(directory_options().watch_pause);
   BOOST_TEST((f.call(directory_kind::targets).op == registry_op::watch));
   BOOST_TEST(f.call(directory_kind::targets).revision == 20u);
   BOOST_TEST(f.core.belief(directory_kind::targets).entries().size() == 2u);
@@ -314,6 +320,113 @@
   BOOST_TEST(pupil.openings() == 1u);
 }
 
+// An entry overwritten by another writer names no target to use, but flows
+// that are open at the target go on.
+BOOST_AUTO_TEST_CASE(unreadable_entries_get_no_openings_and_keep_their_token) {
+  follower_fixture f;
+  f.load();
+  directory_change broken;
+  broken.name = "i-1";
+  broken.revision = 20;
+  broken.problem = "no field state";
+  directory_change unknown = broken;
+  unknown.name = "garbage";
+  f.reply(directory_kind::targets, 20, {broken, unknown});
+  BOOST_TEST(f.openings() == 0u);
+  BOOST_TEST(f.table->target_of(token_of("i-1")) != nullptr);
+  BOOST_TEST(f.table->target_of(token_of("garbage")) == nullptr);
+  f.reply(directory_kind::targets, 21, {entry("i-1", 21, make_target("i-1"))});
+  BOOST_TEST(f.openings() == 1u);
+}
+
+struct duty_row {
+  const char* name;
+  size_t peers;
+  bool watching;
+  time_us silence;
+  size_t watchers_least;
+  size_t watchers_most;
+};
+
+// In a zone of many balancers the calls to the registry must not grow with
+// the fleet, and a change must not depend on one of them.
+BOOST_AUTO_TEST_CASE(few_balancers_of_a_large_zone_watch) {
+  const duty_row rows[] = {
+      {"small zone", 3, true, 0, 4, 4},
+      {"large zone", 19, true, 0, 2, 2},
+      {"large zone, watchers silent", 19, true, 4 * us_per_s, 20, 20},
+      {"large zone, nobody in contact", 19, false, 4 * us_per_s, 20, 20},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      const time_us start = 1000 * us_per_s;
+      size_t watching = 0;
+      for (size_t self = 0; self <= row.peers; ++self) {
+        peer_options options;
+        options.name = "front-" + std::to_string(self);
+        options.zone = "north";
+        options.address = {static_cast<uint32_t>(self + 1), 1};
+        peer_table peers(options);
+        for (size_t other = 0; other <= row.peers; ++other) {
+          peer_hello hello;
+          hello.name = "front-" + std::to_string(other);
+          hello.zone = "north";
+          hello.address = {static_cast<uint32_t>(other + 1), 1};
+          hello.incarnation = 1;
+          hello.sequence = 1;
+          hello.watching = row.watching ? 1 : 0;
+          peers.on_hello(start, hello);
+        }
+        watch_duty duty({}, options.name, options.zone);
+        duty.decide(start, directory_kind::targets, peers);
+        const auto reason =
+            duty.decide(start + row.silence, directory_kind::targets, peers);
+        watching += reason == duty_reason::served ? 0 : 1;
+      }
+      BOOST_TEST(watching >= row.watchers_least);
+      BOOST_TEST(watching <= row.watchers_most);
+    }
+  }
+}
+
+// Only what changed is sent, removals too.
+BOOST_AUTO_TEST_CASE(changes_reach_balancers_that_do_not_watch) {
+  follower_fixture watcher;
+  watcher.load();
+  for (uint32_t i = 1; i <= 8; ++i) {
+    peer_hello hello;
+    hello.name = "front-1" + std::to_string(i);
+    hello.zone = "north";
+    hello.address = {peer_address.ip + i, peer_address.port};
+    hello.incarnation = 7;
+    hello.sequence = 1;
+    hello.marks = {watcher.core.belief(directory_kind::targets).mark(),
+                   watcher.core.belief(directory_kind::routing).mark(),
+                   watcher.core.belief(directory_kind::withdrawals).mark()};
+    watcher.take(watcher.core.on_peer(watcher.now, hello));
+  }
+  watcher.messages.clear();
+  watcher.reply(directory_kind::targets, 20,
+                {removal("i-1", 18), entry("i-2", 19, make_target("i-2"))});
+  BOOST_REQUIRE(watcher.messages.size() == 8u);
+  const auto& sent = std::get<peer_directory>(watcher.messages[0].body);
+  BOOST_TEST(sent.from_revision == 10u);
+  BOOST_TEST(sent.names == std::vector<std::string>{"i-2"});
+  BOOST_TEST(sent.removed_names == std::vector<std::string>{"i-1"});
+}
+
+BOOST_AUTO_TEST_CASE(changes_that_come_together_cost_one_call) {
+  follower_fixture f;
+  f.load();
+  f.reply(directory_kind::targets, 20, {entry("i-2", 20, make_target("i-2"))});
+  const uint64_t answered = f.call(directory_kind::targets).id;
+  f.advance(directory_options().watch_pause / 2);
+  BOOST_TEST(f.call(directory_kind::targets).id == answered);
+  f.advance(directory_options().watch_pause / 2);
+  BOOST_TEST(f.call(directory_kind::targets).id != answered);
+  BOOST_TEST(f.call(directory_kind::targets).revision == 20u);
+}
+
 BOOST_AUTO_TEST_CASE(replayed_heartbeats_are_ignored) {
   peer_options options;
   options.name = "front-1";
