--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,311 @@
+/** @file platform_test.cpp Wire formats of the users' platform. */
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <vector>
+
+#include "turmeric/platform/registry_func.h"
+#include "turmeric/platform/segment_func.h"
+
+namespace turmeric {
+namespace {
+
+/** The opening that the platform's pages print: from 100.64.0.7:40001 to
+ * 198.18.0.1:443, sequence number 0x11223344. */
+const std::vector<uint8_t> example_opening = {
+    0xa1, 0xb2, 0xc3, 0xd5, 0x80, 0x00, 0x00, 0x00, 0x9c, 0x41, 0x01,
+    0xbb, 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x11, 0x22,
+    0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00};
+
+/** The reset that the pages print as the answer to it. */
+const std::vector<uint8_t> example_reset = {
+    0x00, 0x00, 0x00, 0x00, 0x08, 0x00, 0x00, 0x00, 0x01, 0xbb, 0x9c,
+    0x41, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00};
+
+constexpr endpoint caller{0x64400007, 40001};
+constexpr endpoint service{0xc6120001, 443};
+
+registry_call list_of(directory_kind kind) {
+  registry_call call;
+  call.id = 7;
+  call.kind = kind;
+  return call;
+}
+
+constexpr time_us now = 1000 * us_per_s;
+constexpr int http_ok = 200;
+
+/** A list of one stored target with the given content. */
+registry_reply read_target_with(const std::string& spec) {
+  const std::string body =
+      R"({"items":[{"meta":{"name":"i-7f3a91c2","revision":4,"created_rev":3},)"
+      R"("spec":)" +
+      spec +
+      R"(,"status":null},{"meta":{"name":"i-1","revision":5,"created_rev":5},)"
+      R"("spec":{"service":"notes","address":"10.0.0.1:80","zone":"north",)"
+      R"("slots":2,"state":"ready","cold_left_ms":0}}],)"
+      R"("has_more":false,"store_revision":9})";
+  return platform::read_reply(list_of(directory_kind::targets), http_ok, body,
+                              now);
+}
+
+const target_entry& target_in(const registry_reply& reply) {
+  return std::get<target_entry>(*reply.changes[0].value);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_suite)
+
+BOOST_AUTO_TEST_CASE(example_opening_is_read) {
+  const auto s =
+      platform::read_segment(example_opening.data(), example_opening.size());
+  BOOST_REQUIRE(s.has_value());
+  BOOST_TEST((s->source == caller));
+  BOOST_TEST((s->destination == service));
+  BOOST_TEST(s->flags.opens);
+  BOOST_TEST(!s->flags.acknowledges);
+  BOOST_TEST(s->sequence == 0x11223344u);
+  BOOST_TEST(s->token == 0u);
+  BOOST_TEST(s->data_bytes == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(example_reset_is_made) {
+  const auto s =
+      platform::read_segment(example_opening.data(), example_opening.size());
+  const auto reset = platform::make_reset(*s);
+  BOOST_TEST(std::vector<uint8_t>(reset.begin(), reset.end()) ==
+             example_reset);
+}
+
+BOOST_AUTO_TEST_CASE(token_and_prefix_are_big_endian) {
+  auto packet = example_opening;
+  platform::write_token(packet.data(), 0x01020304);
+  const auto s = platform::read_segment(packet.data(), packet.size());
+  BOOST_TEST(s->token == 0x01020304u);
+  packet.resize(28);
+  BOOST_TEST(packet == std::vector<uint8_t>(example_opening.begin(),
+                                            example_opening.begin() + 28));
+  std::array<uint8_t, platform::prefix_bytes> prefix{};
+  platform::write_prefix(prefix.data(), 0x7f3a91c2);
+  const std::array<uint8_t, 8> expected = {0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
+  BOOST_TEST(prefix == expected, boost::test_tools::per_element());
+}
+
+struct malformed_row {
+  const char* name;
+  size_t size;
+  size_t at;
+  uint8_t value;
+};
+
+BOOST_AUTO_TEST_CASE(malformed_packets_are_not_read) {
+  const malformed_row rows[] = {
+      {"empty", 0, 0, 0},
+      {"shorter than a header", 31, 0, 0xa1},
+      {"length says more", 32, 7, 1},
+      {"length says less", 40, 7, 7},
+      {"more data than allowed", 32 + 1201, 0, 0xa1},
+      {"unknown flag", 32, 4, 0x81},
+      {"largest datagram", 65507, 0, 0xa1},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      auto packet = example_opening;
+      packet.resize(std::max(row.size, packet.size()));
+      packet[row.at] = row.value;
+      BOOST_TEST(
+          !platform::read_segment(packet.data(), row.size).has_value());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_are_read_or_refused) {
+  std::mt19937 random(7);
+  for (int i = 0; i < 20000; ++i) {
+    std::vector<uint8_t> packet(random() % 80);
+    for (auto& byte : packet)
+      byte = static_cast<uint8_t>(random());
+    const auto s = platform::read_segment(packet.data(), packet.size());
+    BOOST_TEST((!s.has_value() || s->data_bytes + 32 == packet.size()));
+  }
+}
+
+struct target_row {
+  const char* name;
+  const char* spec;
+  bool readable;
+};
+
+// Entries may come from other writers; what can't be read names no target, and
+// the rest of the list holds.
+BOOST_AUTO_TEST_CASE(wrong_entries_name_no_target) {
+  const target_row rows[] = {
+      {"as documented",
+       R"({"service":"huvo","address":"10.128.0.9:8080","zone":"a",)"
+       R"("version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq":4})",
+       true},
+      {"new fields",
+       R"({"service":"huvo","address":"10.128.0.9:8080","zone":"a",)"
+       R"("slots":2,"state":"draining","cold_left_ms":1.5,"x":[1],"born":12})",
+       true},
+      {"no state",
+       R"({"service":"h","address":"10.0.0.9:80","zone":"a","slots":2,)"
+       R"("cold_left_ms":0})",
+       false},
+      {"unknown state",
+       R"({"service":"h","address":"10.0.0.9:80","zone":"a","slots":2,)"
+       R"("state":"asleep","cold_left_ms":0})",
+       false},
+      {"service is a number",
+       R"({"service":7,"address":"10.0.0.9:80","zone":"a","slots":2,)"
+       R"("state":"ready","cold_left_ms":0})",
+       false},
+      {"address is no address",
+       R"({"service":"h","address":"somewhere","zone":"a","slots":2,)"
+       R"("state":"ready","cold_left_ms":0})",
+       false},
+      {"no slots",
+       R"({"service":"h","address":"10.0.0.9:80","zone":"a","slots":0,)"
+       R"("state":"ready","cold_left_ms":0})",
+       false},
+      {"negative slots",
+       R"({"service":"h","address":"10.0.0.9:80","zone":"a","slots":-1,)"
+       R"("state":"ready","cold_left_ms":0})",
+       false},
+      {"cold time is a text",
+       R"({"service":"h","address":"10.0.0.9:80","zone":"a","slots":2,)"
+       R"("state":"ready","cold_left_ms":"0"})",
+       false},
+      {"start is a fraction",
+       R"({"service":"h","address":"10.0.0.9:80","zone":"a","slots":2,)"
+       R"("state":"ready","cold_left_ms":0,"born":1.5})",
+       false},
+      {"a list", "[1,2,3]", false},
+      {"a text", R"("\u0000\uffff")", false},
+      {"nothing", "null", false},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      const auto reply = read_target_with(row.spec);
+      BOOST_TEST((reply.status == registry_status::ok));
+      BOOST_REQUIRE(reply.changes.size() == 2u);
+      BOOST_TEST((reply.changes[0].value != nullptr) == row.readable);
+      BOOST_TEST(reply.changes[0].problem.empty() == row.readable);
+      BOOST_TEST((reply.changes[1].value != nullptr));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(target_is_decoded_once_into_our_types) {
+  const auto reply = read_target_with(
+      R"({"service":"huvo","address":"10.128.0.9:8080","zone":"a","slots":3,)"
+      R"("state":"draining","cold_left_ms":250,"seq":4,"born":17})");
+  const target_entry& t = target_in(reply);
+  BOOST_TEST(t.number == 0x7f3a91c2u);
+  BOOST_TEST(t.service == "huvo");
+  BOOST_TEST((t.address == endpoint{0x0a800009, 8080}));
+  BOOST_TEST(t.slots == 3u);
+  BOOST_TEST(t.draining);
+  BOOST_TEST(t.cold_until == now + 250 * us_per_ms);
+  BOOST_TEST(t.started == 17u);
+  BOOST_TEST(t.created == 3u);
+  BOOST_TEST(reply.revision == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(routing_is_decoded) {
+  const std::string body =
+      R"({"items":[{"meta":{"name":"main","revision":4,"created_rev":3},"spec":)"
+      R"({"version":7,"routes":[{"name":"r-a","host":"198.18.0.1",)"
+      R"("path_prefix":"/8443/","route_type":"safe","timeout_ms":500,)"
+      R"("target_latency_ms":100,"priority":2,"backends":[{"service":"a",)"
+      R"("weight":90},{"service":"b","weight":10}],"max_attempts":2},)"
+      R"({"name":"r-b","host":"198.18.0.1","path_prefix":"/8080/",)"
+      R"("route_type":"unsafe","service":"a"}],"services":[{"name":"a",)"
+      R"("max_conns":2000,"cold_per_s":1.5}],)"
+      R"("limits":{"idle_timeout_ms":15000}}}],)"
+      R"("has_more":false,"store_revision":9})";
+  const auto reply = platform::read_reply(list_of(directory_kind::routing),
+                                          http_ok, body, now);
+  BOOST_REQUIRE(reply.changes.size() == 1u);
+  BOOST_REQUIRE(reply.changes[0].value != nullptr);
+  const auto& routing = std::get<routing_entry>(*reply.changes[0].value);
+  BOOST_TEST(routing.version == 7u);
+  BOOST_REQUIRE(routing.routes.size() == 2u);
+  BOOST_TEST((routing.routes[0].address == endpoint{0xc6120001, 8443}));
+  BOOST_TEST(routing.routes[0].services.size() == 2u);
+  BOOST_TEST(routing.routes[0].services[0].weight == 90u);
+  BOOST_TEST((routing.routes[1].kind == route_kind::unsafe));
+  BOOST_TEST(routing.routes[1].services[0].service == "a");
+  BOOST_TEST(routing.services[0].cold_per_s == 1.5);
+  BOOST_TEST(routing.idle_timeout == 15 * us_per_s);
+}
+
+struct answer_row {
+  const char* name;
+  int http_status;
+  const char* body;
+  registry_status expected;
+};
+
+BOOST_AUTO_TEST_CASE(answers_of_the_store) {
+  const answer_row rows[] = {
+      {"no items", 200, R"({"items":[],"has_more":false,"store_revision":3})",
+       registry_status::ok},
+      {"history gone", 410, "{}", registry_status::history_gone},
+      {"over the rate", 429, "", registry_status::throttled},
+      {"down", 503, "{}", registry_status::refused},
+      {"no JSON", 200, "<html>", registry_status::unreadable},
+      {"cut short", 200, R"({"items":[{"meta":)", registry_status::unreadable},
+      {"no revision", 200, R"({"items":[],"has_more":false})",
+       registry_status::unreadable},
+      {"items are no list", 200,
+       R"({"items":7,"has_more":false,"store_revision":3})",
+       registry_status::unreadable},
+      {"a number", 200, "5", registry_status::unreadable},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      const auto reply =
+          platform::read_reply(list_of(directory_kind::targets),
+                               row.http_status, row.body, now);
+      BOOST_TEST((reply.status == row.expected));
+      BOOST_TEST(reply.id == 7u);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(deep_and_large_json_is_harmless) {
+  for (const size_t depth : {40u, 900u, 100000u}) {
+    const std::string deep(depth, '[');
+    const auto reply = platform::read_reply(list_of(directory_kind::targets),
+                                            http_ok, deep, now);
+    BOOST_TEST((reply.status == registry_status::unreadable));
+  }
+  // A deep value of one entry must not hide the others.
+  const std::string nested = std::string(60, '[') + std::string(60, ']');
+  const auto reply = read_target_with(nested);
+  BOOST_TEST((reply.status == registry_status::ok));
+  BOOST_TEST(reply.changes.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(calls_are_written_as_documented) {
+  registry_call list = list_of(directory_kind::targets);
+  BOOST_TEST(platform::target_of(list) == "/v1/objects/servers");
+  list.after = "i-7f3a91c2";
+  BOOST_TEST(platform::target_of(list) ==
+             "/v1/objects/servers?after=i-7f3a91c2");
+  list.after = "a b\r\nX: &y";
+  BOOST_TEST(platform::target_of(list) ==
+             "/v1/objects/servers?after=a%20b%0D%0AX%3A%20%26y");
+  registry_call watch = list_of(directory_kind::withdrawals);
+  watch.op = registry_op::watch;
+  watch.revision = 530;
+  watch.wait = 2500 * us_per_ms;
+  BOOST_TEST(platform::target_of(watch) ==
+             "/v1/objects/evacuations?watch=530&wait_ms=2500");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace turmeric
