--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -64,7 +64,8 @@
 /** Replaces the traffic thread's snapshot. */
 struct publish_table {
   std::shared_ptr<const forwarding_table> table;
-  std::vector<uint64_t> balancers;  ///< Other live ones, by hashed name.
+  std::vector<uint64_t> balancers;     ///< Other live ones, by hashed name.
+  std::set<std::string> silent_zones;  ///< Whose balancers are not heard.
 };
 
 /** A line for the log about a change of belief. */
@@ -190,6 +191,7 @@
   bool leaving_ = false;
   bool published_ = false;  ///< Whether there has been a table.
   std::vector<uint64_t> published_balancers_;
+  std::set<std::string> published_silent_;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -10,6 +10,8 @@
 #include <deque>
 #include <memory>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "turmeric/coordination/placement_base.h"
 
@@ -19,8 +21,8 @@
 struct forwarding_options {
   placement_options placing;
   /** An opening without a further segment of its caller after this counts as
-   * unanswered: ten times a usual handshake. */
-  time_us answer_time = 60 * us_per_ms;
+   * unanswered: several times a usual handshake of 5 to 10 ms. */
+  time_us answer_time = 40 * us_per_ms;
   /** Time for which an opening is remembered: the caller gives up by then. */
   time_us opening_time = 1500 * us_per_ms;
   /** A flow without segments for this time no longer counts as work in hand:
@@ -60,6 +62,27 @@
   placement_choice choice;                    ///< Set for openings.
 };
 
+/** What the traffic thread came to believe. */
+enum class forwarding_belief : uint8_t {
+  target_doubted,  ///< It left an opening unanswered.
+  target_answers,  ///< It answered after it had been doubted.
+  end
+};
+
+/** @return The text of @p belief in logs. */
+std::string_view name_of(forwarding_belief belief);
+
+/** A change of belief with what it rests on, for the log. */
+struct forwarding_event {
+  forwarding_belief belief = forwarding_belief::end;
+  flow_key flow;  ///< The flow that showed it.
+  std::string target;
+  std::string zone;
+  uint32_t failures = 0;  ///< Openings left unanswered in a row.
+  uint32_t in_hand = 0;   ///< Flows in hand at the target.
+  time_us since_opening = 0;
+};
+
 /** Counters of one balancer. */
 struct forwarding_counters {
   std::array<uint64_t, static_cast<size_t>(forwarding_reason::end)> reasons{};
@@ -78,6 +101,11 @@
   /** Sets the balancers that share the cold targets. */
   void set_balancers(uint64_t self, std::vector<uint64_t> others);
 
+  /** Sets the zones whose balancers are not heard. */
+  void set_silent_zones(std::set<std::string> zones) {
+    placement_.set_silent_zones(std::move(zones));
+  }
+
   /** Decides on a caller's segment. The decision's target lives as long as
    * the snapshot. */
   forwarding_decision on_segment(time_us now, const segment& s);
@@ -91,6 +119,11 @@
   /** @return When tick() is due. */
   time_us next_tick() const;
 
+  /** @return Changes of belief since the last call. */
+  std::vector<forwarding_event> take_events() {
+    return std::exchange(events_, {});
+  }
+
   const forwarding_counters& counters() const { return counters_; }
   const placement& placing() const { return placement_; }
   /** @return Flows remembered. */
@@ -101,9 +134,12 @@
     flow_token token = 0;
     time_us opened = 0;
     time_us seen = 0;
+    uint32_t acknowledged = 0;  ///< By the caller's last segment.
     bool answered = false;
     bool held_against = false;  ///< Counted as unanswered.
     bool busy = false;          ///< Counted as work in hand.
+    bool ended =
+        false;  ///< The caller has closed it; its last segments follow.
   };
   /** A time at which a flow is looked at. */
   struct check {
@@ -120,10 +156,20 @@
                            const segment& s,
                            const std::string& service,
                            flow_token avoid);
-  void note_segment(time_us now, const segment& s, flow_token token);
+  void note_segment(time_us now,
+                    const segment& s,
+                    const forwarding_target& target);
+  void remember(time_us now, const segment& s, flow_token token);
   void end_flow(const flow_key& key);
   void set_busy(flow_state* flow, bool busy);
-  void hold_against(time_us now, flow_state* flow);
+  void hold_against(time_us now, const flow_key& key, flow_state* flow);
+  void note_answer(time_us now,
+                   const flow_key& key,
+                   const forwarding_target& target);
+  void add_event(forwarding_belief belief,
+                 const flow_key& key,
+                 flow_token token,
+                 time_us since_opening);
   void check_answers(time_us now);
   void check_quiet(time_us now);
   void check_idle(time_us now);
@@ -136,6 +182,7 @@
   std::deque<check> quiet_checks_;  ///< Of flows counted as work in hand.
   std::deque<check> idle_checks_;   ///< Of flows that turned quiet.
   forwarding_counters counters_;
+  std::vector<forwarding_event> events_;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -4,6 +4,7 @@
 #define TURMERIC_COORDINATION_PEER_TABLE_BASE_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,10 @@
    * bound on control traffic. */
   time_us large_interval = 500 * us_per_ms;
   size_t own_zone_fanout = 3;    ///< Heartbeats a round within the zone.
-  size_t other_zone_fanout = 1;  ///< Heartbeats a round to other zones.
+  size_t other_zone_fanout = 2;  ///< Heartbeats a round to other zones.
+  /** A zone from which no peer was heard for this long counts as silent;
+   * longer if its heartbeats are expected less often. */
+  time_us silent_zone_time = 1500 * us_per_ms;
   /** A peer silent for this long counts as gone; longer if a round of turns
    * takes longer. */
   time_us alive_time = 2 * us_per_s;
@@ -73,6 +77,9 @@
   /** @return The live peers of the own zone that are not leaving. */
   std::vector<const known_peer*> alive_in_zone(time_us now) const;
 
+  /** @return Other zones with known peers of which none is heard. */
+  std::set<std::string> silent_zones(time_us now) const;
+
   /** @return Addresses of all known peers. */
   std::vector<endpoint> all() const;
 
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -5,14 +5,19 @@
  * of slots each, of which some may be dead, cold or out of reach. The target
  * with the least cost gets the flow: its flows in hand over its slots, plus
  * penalties for another availability zone and for openings left unanswered.
+ * Silence of several targets of a zone, with no answer from there since, is
+ * taken as a sign against the way to the zone and not against its targets.
  * Penalties only order the targets, so that nothing is ever ruled out for lack
  * of evidence that the rest is better.
  */
 #ifndef TURMERIC_COORDINATION_PLACEMENT_BASE_H_
 #define TURMERIC_COORDINATION_PLACEMENT_BASE_H_
 
+#include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "turmeric/coordination/forwarding_table_base.h"
 
@@ -31,6 +36,13 @@
   time_us doubt_time = 600 * us_per_ms;
   /** Longest such time: a dead target leaves the registry by then. */
   time_us max_doubt_time = 4 * us_per_s;
+  /** Cost of a target in a zone that seems out of reach: below that of a target
+   * that is known to be silent itself. */
+  double silent_zone_cost = 50.0;
+  /** Targets of a zone that must be silent for it to count as out of reach. */
+  size_t silent_targets = 2;
+  /** Time between single flows that probe such a zone. */
+  time_us zone_probe_time = us_per_s;
   /** New flows a second that a cold target may get beyond its own rate, from
    * all balancers together; `cold_slack` of the platform. */
   double cold_slack = 5.0;
@@ -58,7 +70,7 @@
                           flow_token avoid);
 
   /** A flow was sent to the target. */
-  void flow_opened(time_us now, flow_token token);
+  void flow_opened(time_us now, const forwarding_target& target);
 
   /** A flow no longer keeps the target busy. */
   void flow_ended(flow_token token);
@@ -67,16 +79,22 @@
   void flow_resumed(flow_token token);
 
   /** The caller got an answer from the target. */
-  void answered(flow_token token);
+  void answered(time_us now, const forwarding_target& target);
 
-  /** An opening sent to the target has been left unanswered. */
-  void unanswered(time_us now, flow_token token);
+  /** An opening sent to the target has been left unanswered.
+   * @param opened When it was sent. */
+  void unanswered(time_us now, const forwarding_target& target, time_us opened);
 
   /** @return Flows in hand at the target, as seen here. */
   uint32_t in_hand(flow_token token) const;
 
-  /** @return Whether the target is avoided at @p now. */
-  bool doubted(time_us now, flow_token token) const;
+  /** @return Openings in a row that the target left unanswered. */
+  uint32_t failures(flow_token token) const;
+
+  /** Sets the zones whose balancers are not heard. */
+  void set_silent_zones(std::set<std::string> zones) {
+    silent_zones_ = std::move(zones);
+  }
 
   /** Sets the balancers that share the cold targets.
    * @param self This balancer; it need not be among @p others. */
@@ -94,6 +112,16 @@
     time_us cold_next = 0;  ///< Earliest time of the next flow while cold.
   };
 
+  /** What openings to a zone's targets showed of the way there. */
+  struct zone_evidence {
+    time_us answered = 0;  ///< Last answer of any of its targets.
+    /** Targets silent since. */
+    std::set<flow_token> silent;
+    time_us doubted_until = 0;
+    bool probing = false;
+  };
+
+  bool zone_doubted(time_us now, const std::string& zone) const;
   double cost_of(time_us now, const forwarding_target& target) const;
   bool cold_allowed(time_us now, const forwarding_target& target);
   bool owns_cold(flow_token token) const;
@@ -110,6 +138,8 @@
   uint64_t self_ = 0;
   std::vector<uint64_t> others_;
   std::unordered_map<flow_token, evidence> evidence_;
+  std::map<std::string, zone_evidence> zones_;
+  std::set<std::string> silent_zones_;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -302,9 +302,10 @@
     return;
   published_ = true;
   published_balancers_ = peers_.alive_ids(now);
+  published_silent_ = peers_.silent_zones(now);
   out->push_back(
       publish_table{std::make_shared<const forwarding_table>(make_input()),
-                    published_balancers_});
+                    published_balancers_, published_silent_});
 }
 
 directory_core::actions directory_core::tick(time_us now) {
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -83,7 +83,8 @@
   // The others rely on hearing those that watch.
   for (const endpoint& to : peers_.next_round(now, hello.watching != 0))
     out->push_back(send_peer_message{to, hello});
-  if (peers_.alive_ids(now) != published_balancers_)
+  if (peers_.alive_ids(now) != published_balancers_ ||
+      peers_.silent_zones(now) != published_silent_)
     publish(now, out);
 }
 
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -13,6 +13,13 @@
                     "continued", "no_table",      "no_route",
                     "no_target", "unknown_token", "not_a_caller"};
 
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(forwarding_belief::end)>
+    belief_names = {"target left an opening unanswered",
+                    "target answers again"};
+/** Events kept for the log at most; the counters count all. */
+constexpr size_t max_events = 64;
+
 /** The service of a new flow: by weight, the same for repeated openings. */
 const std::string& service_of(const route_entry& route, const flow_key& key) {
   const uint64_t total = std::accumulate(
@@ -35,6 +42,10 @@
   return reason_names[static_cast<size_t>(reason)];
 }
 
+std::string_view name_of(forwarding_belief belief) {
+  return belief_names[static_cast<size_t>(belief)];
+}
+
 forwarding_core::forwarding_core(forwarding_options options,
                                  random_source random)
     : options_(options), placement_(options.placing, std::move(random)) {}
@@ -67,14 +78,14 @@
     return {
         forwarding_act::drop, forwarding_reason::unknown_token, nullptr, {}};
   }
-  note_segment(now, s, s.token);
+  note_segment(now, s, *target);
   return {forwarding_act::forward, forwarding_reason::continued, target, {}};
 }
 
 forwarding_decision forwarding_core::on_opening(time_us now, const segment& s) {
   const auto it = flows_.find(key_of(s));
   if (it != flows_.end()) {
-    if (now - it->second.opened < options_.opening_time)
+    if (!it->second.ended && now - it->second.opened < options_.opening_time)
       return on_repeated(now, s, &it->second);
     end_flow(key_of(s));
   }
@@ -94,7 +105,7 @@
           forwarding_act::drop, forwarding_reason::unknown_token, nullptr, {}};
     return {forwarding_act::forward, forwarding_reason::repeated, first, {}};
   }
-  hold_against(now, flow);
+  hold_against(now, key_of(s), flow);
   const flow_token avoid = flow->token;
   const std::string service = first->entry.service;
   end_flow(key_of(s));
@@ -118,49 +129,83 @@
             choice};
   }
   if (flows_.size() < options_.max_flows) {
-    const flow_key key = key_of(s);
-    flow_state flow;
-    flow.token = choice.target->token;
-    flow.opened = flow.seen = now;
-    placement_.flow_opened(now, flow.token);
-    flow.busy = true;
-    flows_[key] = flow;
-    answer_checks_.push_back({now + options_.answer_time, key});
-    quiet_checks_.push_back({now + options_.busy_time, key});
+    remember(now, s, choice.target->token);
+    placement_.flow_opened(now, *choice.target);
+    answer_checks_.push_back({now + options_.answer_time, key_of(s)});
   }
   return {forwarding_act::forward, forwarding_reason::opened, choice.target,
           choice};
 }
 
+void forwarding_core::remember(time_us now,
+                               const segment& s,
+                               flow_token token) {
+  flow_state flow;
+  flow.token = token;
+  flow.opened = flow.seen = now;
+  flow.acknowledged = s.acknowledged;
+  flow.busy = true;
+  flows_[key_of(s)] = flow;
+  quiet_checks_.push_back({now + options_.busy_time, key_of(s)});
+}
+
 void forwarding_core::note_segment(time_us now,
                                    const segment& s,
-                                   flow_token token) {
-  const auto it = flows_.find(key_of(s));
+                                   const forwarding_target& target) {
+  const flow_key key = key_of(s);
+  const auto it = flows_.find(key);
+  const bool ends = s.flags.finishes || s.flags.resets;
   if (it == flows_.end()) {
-    placement_.answered(token);
+    // Opened through another balancer. That the caller repeats itself does not
+    // show that the target lives; later segments may.
+    if (!ends && flows_.size() < options_.max_flows) {
+      remember(now, s, target.token);
+      flows_[key].answered = true;
+      placement_.flow_resumed(target.token);
+    }
     return;
   }
   flow_state& flow = it->second;
-  if (!flow.answered || flow.token != token) {
-    placement_.answered(token);
-    if (flow.token != token) {
-      // Another of the targets that the opening went to answered first.
-      set_busy(&flow, false);
-      flow.token = token;
-    }
-    flow.answered = true;
-  }
-  if (s.flags.finishes || s.flags.resets) {
-    end_flow(key_of(s));
-    return;
+  if (flow.token != target.token) {
+    // Another of the targets that the opening went to answered first.
+    set_busy(&flow, false);
+    flow.token = target.token;
+    flow.answered = false;
   }
+  if (!flow.answered || flow.acknowledged != s.acknowledged)
+    note_answer(now, key, target);
+  flow.answered = true;
+  flow.acknowledged = s.acknowledged;
   flow.seen = now;
-  if (!flow.busy) {
+  flow.ended = flow.ended || ends;
+  if (flow.ended) {
+    set_busy(&flow, false);
+  } else if (!flow.busy) {
     set_busy(&flow, true);
-    quiet_checks_.push_back({now + options_.busy_time, key_of(s)});
+    quiet_checks_.push_back({now + options_.busy_time, key});
   }
 }
 
+void forwarding_core::note_answer(time_us now,
+                                  const flow_key& key,
+                                  const forwarding_target& target) {
+  if (placement_.failures(target.token) != 0)
+    add_event(forwarding_belief::target_answers, key, target.token, 0);
+  placement_.answered(now, target);
+}
+
+void forwarding_core::add_event(forwarding_belief belief,
+                                const flow_key& key,
+                                flow_token token,
+                                time_us since_opening) {
+  const forwarding_target* target = table_->target_of(token);
+  if (target == nullptr || events_.size() >= max_events)
+    return;
+  events_.push_back({belief, key, target->entry.name, target->entry.zone,
+                     placement_.failures(token), placement_.in_hand(token),
+                     since_opening});
+}
+
 void forwarding_core::set_busy(flow_state* flow, bool busy) {
   if (flow->busy == busy)
     return;
@@ -171,12 +216,17 @@
     placement_.flow_ended(flow->token);
 }
 
-void forwarding_core::hold_against(time_us now, flow_state* flow) {
+void forwarding_core::hold_against(time_us now,
+                                   const flow_key& key,
+                                   flow_state* flow) {
   if (flow->answered || flow->held_against)
     return;
   flow->held_against = true;
   ++counters_.unanswered;
-  placement_.unanswered(now, flow->token);
+  if (const auto* target = table_->target_of(flow->token))
+    placement_.unanswered(now, *target, flow->opened);
+  add_event(forwarding_belief::target_doubted, key, flow->token,
+            now - flow->opened);
 }
 
 void forwarding_core::end_flow(const flow_key& key) {
@@ -199,7 +249,7 @@
     answer_checks_.pop_front();
     const auto it = flows_.find(c.key);
     if (it != flows_.end() && it->second.opened <= c.due - options_.answer_time)
-      hold_against(now, &it->second);
+      hold_against(now, c.key, &it->second);
   }
 }
 
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -120,6 +120,34 @@
   return out;
 }
 
+std::set<std::string> peer_table::silent_zones(time_us now) const {
+  struct zone_view {
+    size_t peers = 0;
+    time_us heard = 0;
+  };
+  std::map<std::string, zone_view> zones;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.hello.name.empty() || peer.hello.zone == options_.zone)
+      continue;
+    zone_view& zone = zones[peer.hello.zone];
+    zone.peers += peer.hello.leaving ? 0 : 1;
+    zone.heard = std::max(zone.heard, peer.heard);
+  }
+  std::set<std::string> out;
+  for (const auto& [name, zone] : zones) {
+    if (zone.peers == 0)
+      continue;
+    // Each of its peers takes turns among all that are in other zones.
+    const time_us expected =
+        interval() * static_cast<time_us>(other_zone_ + own_zone_ + 1) /
+        static_cast<time_us>(zone.peers * options_.other_zone_fanout);
+    if (now - zone.heard >=
+        std::max(options_.silent_zone_time, options_.alive_turns * expected))
+      out.insert(name);
+  }
+  return out;
+}
+
 std::vector<endpoint> peer_table::all() const {
   std::vector<endpoint> out;
   for (const auto& [address, peer] : peers_)
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -24,6 +24,8 @@
 double placement::cost_of(time_us now, const forwarding_target& target) const {
   double cost =
       target.entry.zone == options_.zone ? 0.0 : options_.other_zone_cost;
+  if (zone_doubted(now, target.entry.zone))
+    cost += options_.silent_zone_cost;
   const auto it = evidence_.find(target.token);
   if (it == evidence_.end())
     return cost;
@@ -106,11 +108,24 @@
   return choice;
 }
 
-void placement::flow_opened(time_us now, flow_token token) {
-  evidence& e = evidence_[token];
+bool placement::zone_doubted(time_us now, const std::string& zone) const {
+  if (silent_zones_.count(zone) != 0)
+    return true;
+  const auto it = zones_.find(zone);
+  return it != zones_.end() &&
+         it->second.silent.size() >= options_.silent_targets &&
+         (it->second.probing || now < it->second.doubted_until);
+}
+
+void placement::flow_opened(time_us now, const forwarding_target& target) {
+  evidence& e = evidence_[target.token];
   ++e.in_hand;
   if (e.failures != 0 && now >= e.doubted_until)
     e.probing = true;
+  zone_evidence& zone = zones_[target.entry.zone];
+  if (zone.silent.size() >= options_.silent_targets &&
+      now >= zone.doubted_until)
+    zone.probing = true;
 }
 
 void placement::flow_ended(flow_token token) {
@@ -123,15 +138,35 @@
   ++evidence_[token].in_hand;
 }
 
-void placement::answered(flow_token token) {
-  evidence& e = evidence_[token];
+void placement::answered(time_us now, const forwarding_target& target) {
+  zone_evidence& zone = zones_[target.entry.zone];
+  zone.answered = now;
+  if (zone.silent.size() >= options_.silent_targets) {
+    // The way was to blame for their silence.
+    for (const flow_token token : zone.silent) {
+      evidence& other = evidence_[token];
+      other.failures = 0;
+      other.probing = false;
+    }
+  }
+  zone.silent.clear();
+  zone.probing = false;
+  evidence& e = evidence_[target.token];
   e.failures = 0;
   e.doubted_until = 0;
   e.probing = false;
 }
 
-void placement::unanswered(time_us now, flow_token token) {
-  evidence& e = evidence_[token];
+void placement::unanswered(time_us now,
+                           const forwarding_target& target,
+                           time_us opened) {
+  zone_evidence& zone = zones_[target.entry.zone];
+  if (zone.answered < opened) {
+    zone.silent.insert(target.token);
+    zone.probing = false;
+    zone.doubted_until = now + options_.zone_probe_time;
+  }
+  evidence& e = evidence_[target.token];
   ++e.failures;
   e.probing = false;
   const uint32_t doublings = std::min(e.failures - 1, max_doublings);
@@ -144,10 +179,9 @@
   return it == evidence_.end() ? 0 : it->second.in_hand;
 }
 
-bool placement::doubted(time_us now, flow_token token) const {
+uint32_t placement::failures(flow_token token) const {
   const auto it = evidence_.find(token);
-  return it != evidence_.end() &&
-         (it->second.probing || now < it->second.doubted_until);
+  return it == evidence_.end() ? 0 : it->second.failures;
 }
 
 void placement::retain(const forwarding_table& table) {
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -5,11 +5,15 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
 #include "turmeric/coordination/forwarding_core_base.h"
 #include "turmeric/state/error_type.h"
+#include "turmeric/state/log_func.h"
 #include "turmeric/transport/file_descriptor_base.h"
 
 namespace turmeric {
@@ -28,10 +32,16 @@
    * @return `internal` if the port is taken. */
   result<void> start();
 
+  /** What the control thread hands over. */
+  struct update {
+    std::shared_ptr<const forwarding_table> table;
+    uint64_t self = 0;                   ///< This balancer, by hashed name.
+    std::vector<uint64_t> balancers;     ///< Other live ones.
+    std::set<std::string> silent_zones;  ///< Whose balancers are not heard.
+  };
+
   /** Replaces the snapshot; taken with the next batch. */
-  void publish(std::shared_ptr<const forwarding_table> table,
-               uint64_t self,
-               std::vector<uint64_t> balancers);
+  void publish(update next);
 
   /** @return A copy of the counters. */
   forwarding_counters counters();
@@ -44,16 +54,10 @@
 
  private:
   struct batch;
-  /** A snapshot on its way to the traffic thread. */
-  struct update {
-    std::shared_ptr<const forwarding_table> table;
-    uint64_t self = 0;
-    std::vector<uint64_t> balancers;
-  };
-
   void run();
   void await_first_table();
   int wait_ms();
+  void write_events(time_us now);
   void take_update();
   void wake();
   void handle(time_us now, batch* b, int count);
@@ -64,8 +68,9 @@
   file_descriptor wake_;
   std::mutex core_mutex_;  ///< Held for a batch, or to copy the counters.
   forwarding_core core_;
+  log_limiter belief_lines_;
   std::mutex update_mutex_;
-  std::unique_ptr<update> update_;
+  std::optional<update> update_;
   bool published_ = false;  ///< Whether there has been a snapshot.
   /** Snapshot in use; actions of a batch point into it. */
   std::shared_ptr<const forwarding_table> table_;
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -28,7 +28,14 @@
 using udp = asio_ns::ip::udp;
 
 /** The process ends this long before the platform would kill it. */
-constexpr time_us stop_margin = 1500 * us_per_ms;
+constexpr time_us stop_margin = 700 * us_per_ms;
+/** How often a stopping process looks whether it is still needed. */
+constexpr auto stop_check_interval = std::chrono::milliseconds(100);
+/** Failed probes after which routers take an instance out of rotation. */
+constexpr int probes_to_leave = 2;
+/** Without packets for this long after that, no router sends any more: the
+ * callers' first repetition comes after 200 ms, and routers have some delay. */
+constexpr time_us quiet_to_stop = 500 * us_per_ms;
 /** How often the settings file is looked at; it may change unannounced. */
 constexpr auto settings_check_interval = std::chrono::seconds(2);
 constexpr size_t max_datagram = 65536;
@@ -138,6 +145,7 @@
   void wait_for_signal();
   void on_signal(int number);
   void begin_stop();
+  void check_stop();
   void wait_for_settings();
   void reload(const char* cause);
 
@@ -160,6 +168,8 @@
   log_limiter drops_{drop_logs_per_second};
   bool complete_ = false;
   bool stopping_ = false;
+  time_us stop_by_ = 0;     ///< Latest end of a stopping process.
+  int refused_probes_ = 0;  ///< Probes answered "not ready" since the stop.
   segment_runner segments_;
   std::unique_ptr<directory_actor> directory_;
 };
@@ -302,8 +312,9 @@
           fmt::format("{}", publication.table->routing_version())},
          {"targets", fmt::format("{}", publication.table->targets().size())}});
   }
-  segments_.publish(std::move(publication.table), self_,
-                    std::move(publication.balancers));
+  segments_.publish({std::move(publication.table), self_,
+                     std::move(publication.balancers),
+                     std::move(publication.silent_zones)});
 }
 
 void forwarder::execute_one(const directory_note& note) {
@@ -314,6 +325,8 @@
   if (target != platform::ready_path)
     return {http_not_found, "text/plain", ""};
   const bool ready = complete_ && !stopping_;
+  if (stopping_)
+    ++refused_probes_;
   return {ready ? 200 : http_unavailable, "text/plain", ""};
 }
 
@@ -342,12 +355,25 @@
   directory_->leave();
   const auto grace = static_cast<time_us>(
       settings_.decimal(setting::forwarding_grace) * us_per_s);
-  // Flows move to other balancers once routers have seen two failed probes;
-  // until then their packets still come here.
-  stop_timer_.expires_after(std::chrono::microseconds(
-      std::max<time_us>(grace - stop_margin, grace / 2)));
-  stop_timer_.async_wait(
-      [this](const boost::system::error_code&) { loop_.stop(); });
+  stop_by_ = boot_now() + std::max<time_us>(grace - stop_margin, grace / 2);
+  check_stop();
+}
+
+void forwarder::check_stop() {
+  // Flows move to other balancers once routers have seen the failed probes;
+  // until then, or while routers have nobody else, their packets come here.
+  const time_us now = boot_now();
+  const bool unused = refused_probes_ >= probes_to_leave &&
+                      now - segments_.last_segment() >= quiet_to_stop;
+  if (unused || now >= stop_by_) {
+    loop_.stop();
+    return;
+  }
+  stop_timer_.expires_after(stop_check_interval);
+  stop_timer_.async_wait([this](const boost::system::error_code& code) {
+    if (!code)
+      check_stop();
+  });
 }
 
 void forwarder::wait_for_settings() {
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -13,6 +13,7 @@
 
 #include "turmeric/platform/segment_func.h"
 #include "turmeric/state/log_func.h"
+#include "turmeric/state/service_type.h"
 #include "turmeric/transport/clock_func.h"
 
 namespace turmeric {
@@ -24,6 +25,8 @@
 constexpr size_t packet_room =
     platform::header_bytes + platform::max_data_bytes + 1;
 constexpr int receive_buffer_bytes = 1 << 20;
+/** Lines a second about changes of belief. */
+constexpr int belief_lines_per_second = 50;
 /** Longest sleep of the thread without anything to do. */
 constexpr time_us longest_wait = 10 * us_per_s;
 /** Time for which packets wait in the socket for the first snapshot; later the
@@ -95,7 +98,9 @@
 segment_runner::segment_runner(endpoint local,
                                forwarding_options options,
                                random_source random)
-    : local_(local), core_(std::move(options), std::move(random)) {}
+    : local_(local),
+      core_(std::move(options), std::move(random)),
+      belief_lines_(belief_lines_per_second) {}
 
 segment_runner::~segment_runner() {
   stop();
@@ -119,13 +124,7 @@
   return boost::outcome_v2::success();
 }
 
-void segment_runner::publish(std::shared_ptr<const forwarding_table> table,
-                             uint64_t self,
-                             std::vector<uint64_t> balancers) {
-  auto next = std::make_unique<update>();
-  next->table = std::move(table);
-  next->self = self;
-  next->balancers = std::move(balancers);
+void segment_runner::publish(update next) {
   const std::lock_guard<std::mutex> lock(update_mutex_);
   update_ = std::move(next);
   if (!published_) {
@@ -135,16 +134,17 @@
 }
 
 void segment_runner::take_update() {
-  std::unique_ptr<update> next;
+  std::optional<update> next;
   {
     const std::lock_guard<std::mutex> lock(update_mutex_);
-    next = std::move(update_);
+    next = std::exchange(update_, std::nullopt);
   }
-  if (next == nullptr)
+  if (!next.has_value())
     return;
   table_ = next->table;
   core_.table(next->table);
   core_.set_balancers(next->self, std::move(next->balancers));
+  core_.set_silent_zones(std::move(next->silent_zones));
 }
 
 void segment_runner::await_first_table() {
@@ -189,6 +189,23 @@
     // an answer among them must not count as missing.
     if (count < batch_size)
       core_.tick(now);
+    write_events(now);
+  }
+}
+
+void segment_runner::write_events(time_us now) {
+  for (const auto& event : core_.take_events()) {
+    if (!belief_lines_.allow(now / us_per_s))
+      continue;
+    log(log_category::traffic, log_level::info, name_of(event.belief),
+        {{"target", event.target},
+         {"zone", event.zone},
+         {"flow", to_text(event.flow.caller)},
+         {"route", to_text(event.flow.service)},
+         {"failures", std::to_string(event.failures)},
+         {"in_hand", std::to_string(event.in_hand)},
+         {"since_opening_us", std::to_string(event.since_opening)},
+         {"suppressed", std::to_string(belief_lines_.take_suppressed())}});
   }
 }
 
