--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -167,6 +167,7 @@
                  directory_kind kind,
                  known_peer* peer,
                  actions* out);
+  void ask_if_ahead(time_us now, known_peer* peer, actions* out);
   void push_change(time_us now, directory_kind kind, actions* out);
   peer_directory directory_for(time_us now,
                                directory_kind kind,
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -50,6 +50,7 @@
   time_us added = 0;
   time_us tried = 0;  ///< Last try while nothing has been heard of it.
   std::array<time_us, directory_kinds> behind_since{};  ///< 0 if it is not.
+  std::array<time_us, directory_kinds> ahead_since{};   ///< 0 if it is not.
   std::array<time_us, directory_kinds> pushed{};
 };
 
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -165,6 +165,8 @@
   const auto changes = f.belief.replace(now, f.list_revision, f.listed);
   f.listed.clear();
   believe(now, kind, "registry list", changes, out);
+  if (!changes.empty())
+    push_change(now, kind, out);
 }
 
 void directory_core::changes_arrived(time_us now,
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -114,7 +114,34 @@
                         {"incarnation", std::to_string(hello.incarnation)}}});
     out->push_back(send_peer_message{hello.address, make_hello(now)});
   }
-  push_to(now, peers_.find(hello.address), out);
+  known_peer* peer = peers_.find(hello.address);
+  push_to(now, peer, out);
+  ask_if_ahead(now, peer, out);
+}
+
+void directory_core::ask_if_ahead(time_us now,
+                                  known_peer* peer,
+                                  actions* out) {
+  uint32_t wants = 0;
+  for (uint32_t i = 0; i < directory_kinds; ++i) {
+    const directory_mark& own = followers_[i].belief.mark();
+    const directory_mark& theirs = peer->hello.marks[i];
+    time_us& since = peer->ahead_since[i];
+    if (theirs.revision <= own.revision || theirs.digest == own.digest) {
+      since = 0;
+      continue;
+    }
+    if (since == 0)
+      since = now;
+    // The registry, or a push on its way, may be about to tell it.
+    if (now - since >= options_.push_patience)
+      wants |= 1U << i;
+  }
+  if (wants == 0)
+    return;
+  peer_hello hello = make_hello(now);
+  hello.wants = wants;
+  out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
 }
 
 void directory_core::push_to(time_us now, known_peer* peer, actions* out) {
@@ -129,7 +156,9 @@
     }
     if (peer->behind_since[i] == 0)
       peer->behind_since[i] = now;
-    const bool waited = now - peer->behind_since[i] >= options_.push_patience;
+    const bool asked = (peer->hello.wants >> i & 1) != 0;
+    const bool waited =
+        asked || now - peer->behind_since[i] >= options_.push_patience;
     const bool pushed_lately =
         peer->pushed[i] != 0 && now - peer->pushed[i] < options_.push_patience;
     if ((theirs.revision == 0 || waited) && !pushed_lately)
@@ -205,6 +234,9 @@
                            ? f.belief.replace(now, directory.revision, received)
                            : f.belief.apply(now, directory.revision, received);
   believe(now, directory.kind, "peer", changes, out);
+  // In a zone that is cut off from the registry the news comes from elsewhere.
+  if (!changes.empty() && f.duty != duty_reason::served)
+    push_change(now, directory.kind, out);
   // An open watch goes on from an older revision; its answer is complete only
   // from there and is older than what is known now, or adds to it.
   if (!f.must_list || f.call != 0)
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -29,6 +29,7 @@
       last.name.empty() || last.incarnation != hello.incarnation;
   if (started) {
     peer.behind_since = {};
+    peer.ahead_since = {};
     peer.pushed = {};
   }
   peer.hello = hello;
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -154,7 +154,8 @@
                 m.leaving,
                 m.marks,
                 m.peers,
-                m.watching)
+                m.watching,
+                m.wants)
 TURMERIC_FIELDS(peer_directory,
                 m.to_incarnation,
                 m.kind,
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -30,6 +30,8 @@
   std::vector<endpoint> peers;  ///< Some balancers that it knows.
   /** A bit for each kind that it watches in the registry, in contact. */
   uint32_t watching = 0;
+  /** A bit for each kind that it asks for, as the receiver knows more. */
+  uint32_t wants = 0;
 };
 
 /** @return Whether the sender of @p hello watches @p kind. */
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -415,6 +415,69 @@
   BOOST_TEST(sent.removed_names == std::vector<std::string>{"i-1"});
 }
 
+// Found on the users' bench, kitakiroku-grown scale-1: the history was dropped,
+// the watching balancers listed anew, and the others learnt 5 s later.
+BOOST_AUTO_TEST_CASE(changes_found_by_a_list_are_passed_on_too) {
+  follower_fixture watcher;
+  watcher.load();
+  for (uint32_t i = 1; i <= 8; ++i) {
+    peer_hello hello;
+    hello.name = "front-1" + std::to_string(i);
+    hello.zone = "north";
+    hello.address = {peer_address.ip + i, peer_address.port};
+    hello.incarnation = 7;
+    hello.sequence = 1;
+    hello.marks = {watcher.core.belief(directory_kind::targets).mark(),
+                   watcher.core.belief(directory_kind::routing).mark(),
+                   watcher.core.belief(directory_kind::withdrawals).mark()};
+    watcher.take(watcher.core.on_peer(watcher.now, hello));
+  }
+  watcher.reply(directory_kind::routing, 0, {}, registry_status::history_gone);
+  watcher.advance(10 * us_per_ms);
+  BOOST_REQUIRE(
+      (watcher.call(directory_kind::routing).op == registry_op::list));
+  watcher.messages.clear();
+  watcher.reply(directory_kind::routing, 20,
+                {entry("main", 20, make_routing(2))});
+  BOOST_TEST(watcher.messages.size() == 8u);
+}
+
+// A balancer that sees that a peer knows more asks for it.
+BOOST_AUTO_TEST_CASE(balancer_that_is_behind_asks_the_peer_that_is_ahead) {
+  follower_fixture f;
+  f.load();
+  peer_hello ahead;
+  ahead.name = "front-2";
+  ahead.zone = "north";
+  ahead.address = peer_address;
+  ahead.incarnation = 7;
+  ahead.sequence = 1;
+  ahead.marks = {directory_mark{50, 1}, directory_mark{10, 0},
+                 directory_mark{10, 0}};
+  ahead.marks[1] = f.core.belief(directory_kind::routing).mark();
+  ahead.marks[2] = f.core.belief(directory_kind::withdrawals).mark();
+  f.take(f.core.on_peer(f.now, ahead));
+  f.messages.clear();
+  f.now += directory_options().push_patience;
+  ahead.sequence = 2;
+  f.take(f.core.on_peer(f.now, ahead));
+  BOOST_REQUIRE(f.messages.size() == 1u);
+  const auto& hello = std::get<peer_hello>(f.messages[0].body);
+  BOOST_TEST(hello.wants == 1u);
+  BOOST_TEST((f.messages[0].to == peer_address));
+
+  follower_fixture other(options_of("front-2", peer_address));
+  other.load();
+  other.reply(directory_kind::targets, 50,
+              {entry("i-9", 50, make_target("i-9"))});
+  other.messages.clear();
+  other.take(other.core.on_peer(other.now, hello));
+  BOOST_TEST(std::any_of(
+      other.messages.begin(), other.messages.end(), [](const auto& m) {
+        return std::holds_alternative<peer_directory>(m.body);
+      }));
+}
+
 BOOST_AUTO_TEST_CASE(changes_that_come_together_cost_one_call) {
   follower_fixture f;
   f.load();
