--- a/apps/turmericstream/cli_base.h
+++ b/apps/turmericstream/cli_base.h
@@ -21,6 +21,7 @@
   std::string author = "operator";
   std::vector<std::string> templates;  ///< Template files.
   std::string output;                  ///< File to write a report to.
+  std::string flow;                    ///< Caller's address of a flow.
   bool json = false;
   bool wait = false;  ///< Wait until the change is in force everywhere.
   bool page = false;  ///< Print a documentation page.
@@ -72,6 +73,9 @@
 result<void> run_metrics(const cli_options& options);
 result<void> run_check_settings(const cli_options& options);
 result<void> run_result_codes(const cli_options& options);
+result<void> run_forwarder_pages(const cli_options& options);
+result<void> run_metrics_page(const cli_options& options);
+result<void> run_explain(const cli_options& options);
 
 }  // namespace turmeric::cli
 
--- /dev/null
+++ b/apps/turmericstream/forwarder_cli.cpp
@@ -0,0 +1,143 @@
+/** @file forwarder_cli.cpp What balancers of the forwarding mode know. */
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include "cli_base.h"
+#include "turmeric/state/json_func.h"
+#include "turmeric/state/metric_type.h"
+#include "turmeric/state/service_type.h"
+
+namespace turmeric::cli {
+namespace {
+
+constexpr int connect_timeout_s = 2;
+constexpr int read_timeout_s = 5;
+constexpr int http_ok = 200;
+
+/** Gets a page from a balancer's metrics address. */
+result<std::string> get_page(const endpoint& balancer,
+                             const std::string& path) {
+  const std::string address = to_text(balancer);
+  httplib::Client client("http://" + address);
+  client.set_connection_timeout(connect_timeout_s);
+  client.set_read_timeout(read_timeout_s);
+  const auto answer = client.Get(path.c_str());
+  if (!answer || answer->status != http_ok) {
+    return fail(result_code::balancer_unreachable,
+                fmt::format("{} does not answer at {}; is it the address of "
+                            "forwarding.metrics?",
+                            address, path));
+  }
+  return answer->body;
+}
+
+result<Json::Value> get_json(const endpoint& balancer,
+                             const std::string& path) {
+  auto page = get_page(balancer, path);
+  if (!page)
+    return boost::outcome_v2::failure(page.error());
+  Json::Value v;
+  if (!json_parse(page.value(), &v)) {
+    return fail(result_code::balancer_unreachable,
+                to_text(balancer) + " did not answer with JSON");
+  }
+  return v;
+}
+
+void print_status(const Json::Value& v) {
+  fmt::print(
+      "{} in {}: {}, up {:.0f} s, {} peers, {} targets, {} flows\n"
+      "  routing version {}, table {} ms old; revisions: targets {}, routing "
+      "{}, withdrawals {}\n",
+      v["name"].asString(), v["zone"].asString(),
+      v["ready"].asBool()      ? "ready"
+      : v["stopping"].asBool() ? "stopping"
+                               : "not ready",
+      v["uptime_s"].asDouble(), v["peers"].asUInt(), v["targets"].asUInt(),
+      v["flows"].asUInt(), v["routing_version"].asUInt64(),
+      v["table_age_ms"].asInt64(), v["revisions"]["targets"].asUInt64(),
+      v["revisions"]["routing"].asUInt64(),
+      v["revisions"]["withdrawals"].asUInt64());
+  for (const auto& zone : v["silent_zones"])
+    fmt::print("  no balancer of {} is heard\n", zone.asString());
+}
+
+void print_targets(const Json::Value& v) {
+  fmt::print("{:<16}{:<14}{:<14}{:<22}{:<8}{:>8}{:>9}{:>9}\n", "target", "zone",
+             "service", "address", "open", "in hand", "failures", "cold ms");
+  for (const auto& t : v) {
+    fmt::print("{:<16}{:<14}{:<14}{:<22}{:<8}{:>8}{:>9}{:>9}\n",
+               t["name"].asString(), t["zone"].asString(),
+               t["service"].asString(), t["address"].asString(),
+               t["open"].asBool()       ? "yes"
+               : t["draining"].asBool() ? "drains"
+                                        : "no",
+               t["in_hand"].asUInt(), t["failures"].asUInt(),
+               t["cold_left_ms"].asInt64());
+  }
+}
+
+void print_flows(const Json::Value& v) {
+  for (const auto& f : v) {
+    fmt::print("{} -> {} at {}: {}, quiet for {} ms\n", f["caller"].asString(),
+               f["route"].asString(), f["target"].asString(),
+               f["ended"].asBool()      ? "ended"
+               : f["answered"].asBool() ? "open"
+                                        : "not answered yet",
+               f["quiet_ms"].asInt64());
+  }
+}
+
+/** A page of `forwarder`. */
+struct page_row {
+  std::string_view name;
+  std::string_view path;
+  std::function<void(const Json::Value&)> print;
+};
+
+const std::vector<page_row>& pages() {
+  static const std::vector<page_row> all = {
+      {"status", "/status", print_status},
+      {"targets", "/targets", print_targets},
+      {"flows", "/flows/", print_flows},
+  };
+  return all;
+}
+
+}  // namespace
+
+result<void> run_forwarder_pages(const cli_options& options) {
+  const std::string wanted =
+      options.arguments.empty() ? "" : options.arguments[0];
+  for (const auto& page : pages()) {
+    if (page.name != wanted)
+      continue;
+    std::string path(page.path);
+    if (path.back() == '/') {
+      if (options.arguments.size() != 2) {
+        return fail(result_code::usage,
+                    "expected: forwarder flows IP:PORT; port 0 means all");
+      }
+      path += options.arguments[1];
+    }
+    for (const auto& balancer : options.balancers) {
+      auto answer = get_json(balancer, path);
+      if (!answer)
+        return boost::outcome_v2::failure(answer.error());
+      if (options.json)
+        fmt::print("{}\n", json_text(answer.value()));
+      else
+        page.print(answer.value());
+    }
+    return boost::outcome_v2::success();
+  }
+  return fail(result_code::usage,
+              "expected: forwarder status, targets or flows IP:PORT");
+}
+
+result<void> run_metrics_page(const cli_options&) {
+  fmt::print("{}", metrics_page());
+  return boost::outcome_v2::success();
+}
+
+}  // namespace turmeric::cli
--- a/apps/turmericstream/options.cpp
+++ b/apps/turmericstream/options.cpp
@@ -22,6 +22,7 @@
     "  -n, --cluster NAME       name of the cluster\n"
     "  -a, --author NAME        written into changes\n"
     "  -o, --output FILE        file to write a report to (HTML)\n"
+    "  -f, --flow IP:PORT       caller's address of a flow\n"
     "  -w, --wait               wait until the change is in force\n"
     "  -j, --json               print JSON\n"
     "      --page               print a documentation page\n"
@@ -95,6 +96,7 @@
     {"cluster", required_argument, nullptr, 'n'},
     {"author", required_argument, nullptr, 'a'},
     {"output", required_argument, nullptr, 'o'},
+    {"flow", required_argument, nullptr, 'f'},
     {"wait", no_argument, nullptr, 'w'},
     {"json", no_argument, nullptr, 'j'},
     {"page", no_argument, nullptr, 'P'},
@@ -112,7 +114,7 @@
 result<cli_options> parse_options(int argc, char** argv) {
   cli_options o;
   std::vector<std::pair<std::string, std::string>> given;
-  for (int c = 0; (c = getopt_long(argc, argv, "c:p:b:t:k:n:a:o:wj",
+  for (int c = 0; (c = getopt_long(argc, argv, "c:p:b:t:k:n:a:o:f:wj",
                                    long_options, nullptr)) != -1;) {
     switch (c) {
       case 'c':
@@ -124,6 +126,9 @@
       case 'o':
         o.output = optarg;
         break;
+      case 'f':
+        o.flow = optarg;
+        break;
       case 'w':
         o.wait = true;
         break;
--- a/apps/turmericstream/settings_cli.cpp
+++ b/apps/turmericstream/settings_cli.cpp
@@ -2,9 +2,50 @@
 #include <fmt/format.h>
 
 #include "cli_base.h"
+#include "turmeric/state/ini_func.h"
 #include "turmeric/state/settings_base.h"
 
 namespace turmeric::cli {
+namespace {
+
+/** Ending of templates that a platform fills in. */
+constexpr std::string_view template_ending = ".tpl";
+constexpr std::string_view placeholder = "{{";
+
+bool is_template(const std::string& path) {
+  return path.size() > template_ending.size() &&
+         path.compare(path.size() - template_ending.size(), std::string::npos,
+                      template_ending) == 0;
+}
+
+result<void> check_file(const std::string& path) {
+  auto read = read_settings(path);
+  if (!read)
+    return boost::outcome_v2::failure(read.error());
+  return boost::outcome_v2::success();
+}
+
+/** Checks the names in a template, and the values without placeholders. */
+result<void> check_template(const std::string& path) {
+  auto lines = read_ini(path);
+  if (!lines)
+    return boost::outcome_v2::failure(lines.error());
+  settings checked;
+  for (const auto& line : lines.value()) {
+    auto done = checked.set(line.section, line.name, line.value);
+    const bool filled_in = line.value.find(placeholder) != std::string::npos;
+    if (done ||
+        (filled_in && done.error().code == result_code::setting_out_of_range))
+      continue;
+    error e = done.error();
+    e.file = path;
+    e.line = line.line;
+    return boost::outcome_v2::failure(e);
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
 
 result<void> run_check_settings(const cli_options& options) {
   if (options.page) {
@@ -14,7 +55,7 @@
   if (options.arguments.empty())
     fmt::print("{}", settings_help());
   for (const auto& path : options.arguments) {
-    auto read = read_settings(path);
+    auto read = is_template(path) ? check_template(path) : check_file(path);
     if (!read)
       return boost::outcome_v2::failure(read.error());
     fmt::print("{}: fine\n", path);
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -8,12 +8,14 @@
 #define TURMERIC_COORDINATION_FORWARDING_CORE_BASE_H_
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "turmeric/coordination/placement_base.h"
+#include "turmeric/coordination/traffic_metrics_base.h"
 
 namespace turmeric {
 
@@ -32,6 +34,8 @@
   time_us flow_time = 15 * us_per_s;
   /** Flows remembered at once; beyond this new ones are not counted. */
   size_t max_flows = 200000;
+  /** One of so many flows is logged, whole; 0 for none. */
+  uint64_t log_one_in = 16;
 };
 
 /** What to do with a segment. */
@@ -62,41 +66,65 @@
   placement_choice choice;                    ///< Set for openings.
 };
 
-/** What the traffic thread came to believe. */
-enum class forwarding_belief : uint8_t {
-  target_doubted,  ///< It left an opening unanswered.
-  target_answers,  ///< It answered after it had been doubted.
+/** What happened to a flow, or what the traffic thread came to believe. */
+enum class forwarding_event_kind : uint8_t {
+  placed,          ///< An opening went to a target.
+  refused,         ///< An opening was reset.
+  dropped,         ///< A segment was dropped.
+  answered,        ///< The caller has an answer from the target.
+  ended,           ///< The caller closed the flow.
+  target_doubted,  ///< A target left an opening unanswered.
+  target_answers,  ///< A target answered after it had been doubted.
   end
 };
 
-/** @return The text of @p belief in logs. */
-std::string_view name_of(forwarding_belief belief);
+/** @return The text of @p kind in logs. */
+std::string_view name_of(forwarding_event_kind kind);
 
-/** A change of belief with what it rests on, for the log. */
+/** An event with what it rests on, for the log. */
 struct forwarding_event {
-  forwarding_belief belief = forwarding_belief::end;
-  flow_key flow;  ///< The flow that showed it.
-  std::string target;
-  std::string zone;
-  uint32_t failures = 0;  ///< Openings left unanswered in a row.
-  uint32_t in_hand = 0;   ///< Flows in hand at the target.
+  forwarding_event_kind kind = forwarding_event_kind::end;
+  forwarding_reason reason = forwarding_reason::end;  ///< For decisions.
+  flow_key flow;
+  flow_token token = 0;
+  std::string target;     ///< Empty if there is none.
+  std::string zone;       ///< Of the target.
+  uint32_t failures = 0;  ///< Openings it left unanswered in a row.
+  uint32_t in_hand = 0;   ///< Flows in hand at it, as seen here.
+  size_t candidates = 0;  ///< Targets that were open to the flow.
+  double cost = 0.0;      ///< Of the chosen one.
   time_us since_opening = 0;
+  time_us table_age = 0;  ///< Time since the snapshot came.
 };
 
 /** Counters of one balancer. */
 struct forwarding_counters {
   std::array<uint64_t, static_cast<size_t>(forwarding_reason::end)> reasons{};
-  uint64_t unanswered = 0;  ///< Openings left unanswered.
-  uint64_t malformed = 0;   ///< Packets that could not be read.
+  uint64_t unanswered = 0;   ///< Openings left unanswered.
+  uint64_t doubts = 0;       ///< Times a target came to be doubted.
+  uint64_t other_zone = 0;   ///< Openings placed in other zones.
+  uint64_t events_lost = 0;  ///< Events beyond those kept for the log.
+  uint64_t malformed = 0;    ///< Packets that could not be read.
 };
 
+/** What is remembered of a flow. */
+struct flow_state {
+  flow_token token = 0;
+  time_us opened = 0;
+  time_us seen = 0;
+  uint32_t acknowledged = 0;  ///< By the caller's last segment.
+  bool answered = false;
+  bool held_against = false;  ///< Counted as unanswered.
+  bool busy = false;          ///< Counted as work in hand.
+  bool ended = false;  ///< The caller has closed it; its last segments follow.
+};
 /** Decisions of one balancer's traffic thread. */
 class forwarding_core {
  public:
   forwarding_core(forwarding_options options, random_source random);
 
   /** Takes a newer snapshot. */
-  void table(std::shared_ptr<const forwarding_table> table);
+  void table(time_us now, std::shared_ptr<const forwarding_table> table);
 
   /** Sets the balancers that share the cold targets. */
   void set_balancers(uint64_t self, std::vector<uint64_t> others);
@@ -119,28 +147,25 @@
   /** @return When tick() is due. */
   time_us next_tick() const;
 
-  /** @return Changes of belief since the last call. */
+  /** @return Events since the last call. */
   std::vector<forwarding_event> take_events() {
     return std::exchange(events_, {});
   }
 
   const forwarding_counters& counters() const { return counters_; }
   const placement& placing() const { return placement_; }
+  /** @return Times from openings to their answers, in ms. */
+  const latency_histogram& answer_times() const { return answer_times_; }
+  const forwarding_table* current_table() const { return table_.get(); }
+  /** @return When the snapshot came. */
+  time_us table_since() const { return table_since_; }
+  /** Calls @p visit with each flow remembered. */
+  void for_each_flow(const std::function<void(const flow_key&,
+                                              const flow_state&)>& visit) const;
   /** @return Flows remembered. */
   size_t flows() const { return flows_.size(); }
 
  private:
-  struct flow_state {
-    flow_token token = 0;
-    time_us opened = 0;
-    time_us seen = 0;
-    uint32_t acknowledged = 0;  ///< By the caller's last segment.
-    bool answered = false;
-    bool held_against = false;  ///< Counted as unanswered.
-    bool busy = false;          ///< Counted as work in hand.
-    bool ended =
-        false;  ///< The caller has closed it; its last segments follow.
-  };
   /** A time at which a flow is looked at. */
   struct check {
     time_us due;
@@ -166,10 +191,15 @@
   void note_answer(time_us now,
                    const flow_key& key,
                    const forwarding_target& target);
-  void add_event(forwarding_belief belief,
+  bool sampled(const flow_key& key) const;
+  void report_decision(time_us now,
+                       const segment& s,
+                       const forwarding_decision& decision);
+  void add_event(time_us now,
+                 forwarding_event_kind kind,
                  const flow_key& key,
                  flow_token token,
-                 time_us since_opening);
+                 const forwarding_decision* decision = nullptr);
   void check_answers(time_us now);
   void check_quiet(time_us now);
   void check_idle(time_us now);
@@ -181,6 +211,8 @@
   std::deque<check> answer_checks_;
   std::deque<check> quiet_checks_;  ///< Of flows counted as work in hand.
   std::deque<check> idle_checks_;   ///< Of flows that turned quiet.
+  time_us table_since_ = 0;
+  latency_histogram answer_times_;
   forwarding_counters counters_;
   std::vector<forwarding_event> events_;
 };
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -14,9 +14,11 @@
                     "no_target", "unknown_token", "not_a_caller"};
 
 constexpr std::array<std::string_view,
-                     static_cast<size_t>(forwarding_belief::end)>
-    belief_names = {"target left an opening unanswered",
-                    "target answers again"};
+                     static_cast<size_t>(forwarding_event_kind::end)>
+    event_names = {"flow placed",         "flow refused",
+                   "segment dropped",     "flow answered",
+                   "flow ended",          "target left an opening unanswered",
+                   "target answers again"};
 /** Events kept for the log at most; the counters count all. */
 constexpr size_t max_events = 64;
 
@@ -42,16 +44,20 @@
   return reason_names[static_cast<size_t>(reason)];
 }
 
-std::string_view name_of(forwarding_belief belief) {
-  return belief_names[static_cast<size_t>(belief)];
+std::string_view name_of(forwarding_event_kind kind) {
+  return event_names[static_cast<size_t>(kind)];
 }
 
 forwarding_core::forwarding_core(forwarding_options options,
                                  random_source random)
-    : options_(options), placement_(options.placing, std::move(random)) {}
+    : options_(options),
+      placement_(options.placing, std::move(random)),
+      answer_times_(make_latency_histogram()) {}
 
-void forwarding_core::table(std::shared_ptr<const forwarding_table> table) {
+void forwarding_core::table(time_us now,
+                            std::shared_ptr<const forwarding_table> table) {
   table_ = std::move(table);
+  table_since_ = now;
   placement_.retain(*table_);
 }
 
@@ -63,6 +69,7 @@
 forwarding_decision forwarding_core::on_segment(time_us now, const segment& s) {
   forwarding_decision decision = decide(now, s);
   ++counters_.reasons[static_cast<size_t>(decision.reason)];
+  report_decision(now, s, decision);
   return decision;
 }
 
@@ -172,11 +179,17 @@
     flow.token = target.token;
     flow.answered = false;
   }
+  if (!flow.answered)
+    answer_times_(static_cast<double>(now - flow.opened) / us_per_ms);
+  if (!flow.answered && sampled(key))
+    add_event(now, forwarding_event_kind::answered, key, target.token);
   if (!flow.answered || flow.acknowledged != s.acknowledged)
     note_answer(now, key, target);
   flow.answered = true;
   flow.acknowledged = s.acknowledged;
   flow.seen = now;
+  if (ends && !flow.ended && sampled(key))
+    add_event(now, forwarding_event_kind::ended, key, target.token);
   flow.ended = flow.ended || ends;
   if (flow.ended) {
     set_busy(&flow, false);
@@ -190,20 +203,66 @@
                                   const flow_key& key,
                                   const forwarding_target& target) {
   if (placement_.failures(target.token) != 0)
-    add_event(forwarding_belief::target_answers, key, target.token, 0);
+    add_event(now, forwarding_event_kind::target_answers, key, target.token);
   placement_.answered(now, target);
 }
 
-void forwarding_core::add_event(forwarding_belief belief,
+bool forwarding_core::sampled(const flow_key& key) const {
+  return options_.log_one_in != 0 && hash_of(key) % options_.log_one_in == 0;
+}
+
+void forwarding_core::report_decision(time_us now,
+                                      const segment& s,
+                                      const forwarding_decision& decision) {
+  const flow_key key = key_of(s);
+  const bool opening = decision.act == forwarding_act::forward &&
+                       decision.reason != forwarding_reason::continued;
+  if (decision.act == forwarding_act::reset) {
+    add_event(now, forwarding_event_kind::refused, key, 0, &decision);
+  } else if (decision.act == forwarding_act::drop) {
+    add_event(now, forwarding_event_kind::dropped, key, s.token, &decision);
+  } else if (opening) {
+    counters_.other_zone +=
+        decision.target->entry.zone != options_.placing.zone ? 1 : 0;
+    // Repeated openings are rare and show trouble.
+    if (sampled(key) || decision.reason != forwarding_reason::opened) {
+      add_event(now, forwarding_event_kind::placed, key, decision.target->token,
+                &decision);
+    }
+  }
+}
+
+void forwarding_core::add_event(time_us now,
+                                forwarding_event_kind kind,
                                 const flow_key& key,
                                 flow_token token,
-                                time_us since_opening) {
-  const forwarding_target* target = table_->target_of(token);
-  if (target == nullptr || events_.size() >= max_events)
+                                const forwarding_decision* decision) {
+  if (events_.size() >= max_events) {
+    ++counters_.events_lost;
     return;
-  events_.push_back({belief, key, target->entry.name, target->entry.zone,
-                     placement_.failures(token), placement_.in_hand(token),
-                     since_opening});
+  }
+  forwarding_event event;
+  event.kind = kind;
+  event.flow = key;
+  event.token = token;
+  event.table_age = table_ == nullptr ? 0 : now - table_since_;
+  if (decision != nullptr) {
+    event.reason = decision->reason;
+    event.candidates = decision->choice.candidates;
+    event.cost = decision->choice.cost;
+  }
+  const auto flow = flows_.find(key);
+  if (flow != flows_.end())
+    event.since_opening = now - flow->second.opened;
+  const forwarding_target* target =
+      table_ == nullptr ? nullptr : table_->target_of(token);
+  if (target != nullptr) {
+    event.target = target->entry.name;
+    event.zone = target->entry.zone;
+    event.failures = placement_.failures(token);
+    event.in_hand = placement_.in_hand(token);
+  }
+  events_.push_back(std::move(event));
 }
 
 void forwarding_core::set_busy(flow_state* flow, bool busy) {
@@ -225,8 +284,8 @@
   ++counters_.unanswered;
   if (const auto* target = table_->target_of(flow->token))
     placement_.unanswered(now, *target, flow->opened);
-  add_event(forwarding_belief::target_doubted, key, flow->token,
-            now - flow->opened);
+  counters_.doubts += placement_.failures(flow->token) == 1 ? 1 : 0;
+  add_event(now, forwarding_event_kind::target_doubted, key, flow->token);
 }
 
 void forwarding_core::end_flow(const flow_key& key) {
@@ -282,6 +341,13 @@
   }
 }
 
+void forwarding_core::for_each_flow(
+    const std::function<void(const flow_key&, const flow_state&)>& visit)
+    const {
+  for (const auto& [key, flow] : flows_)
+    visit(key, flow);
+}
+
 time_us forwarding_core::next_tick() const {
   time_us next = INT64_MAX;
   if (!answer_checks_.empty())
--- a/packages/state/include/turmeric/state/log_func.h
+++ b/packages/state/include/turmeric/state/log_func.h
@@ -43,6 +43,13 @@
          std::string_view message,
          const std::vector<log_field>& fields = {});
 
+/** @return Lines lost so far because the reader of standard output did not
+ * keep up; log() never waits for it. */
+uint64_t log_lines_lost();
+
+/** @return Bytes of all lines written so far. */
+uint64_t log_bytes_written();
+
 /** Lets a few events a second through and counts the rest. */
 class log_limiter {
  public:
--- a/packages/state/include/turmeric/state/table/settings.h
+++ b/packages/state/include/turmeric/state/table/settings.h
@@ -259,3 +259,11 @@
                  0,
                  1000,
                  "New flows a second that a cold target bears beyond its rate.")
+TURMERIC_SETTING(log,
+                 one_in,
+                 number,
+                 "flows",
+                 "16",
+                 0,
+                 1000000000,
+                 "One of so many flows is logged, whole; 0 for none.")
--- a/packages/state/src/log.cpp
+++ b/packages/state/src/log.cpp
@@ -4,11 +4,13 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <json/json.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
 
 namespace turmeric {
 namespace {
@@ -40,8 +42,32 @@
   return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), ms);
 }
 
+std::atomic<uint64_t> lines_lost{0};
+std::atomic<uint64_t> bytes_written{0};
+
+/** Writes @p line, or counts it as lost where that would block: a pipe that
+ * is ready takes as much as a line at once. */
+void write_line(const std::string& line) {
+  static std::mutex one_writer;
+  const std::lock_guard<std::mutex> lock(one_writer);
+  pollfd out{STDOUT_FILENO, POLLOUT, 0};
+  const bool ready = poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+  if (!ready || write(STDOUT_FILENO, line.data(), line.size()) < 0)
+    ++lines_lost;
+  else
+    bytes_written += line.size();
+}
+
 }  // namespace
 
+uint64_t log_lines_lost() {
+  return lines_lost;
+}
+
+uint64_t log_bytes_written() {
+  return bytes_written;
+}
+
 std::string_view name_of(log_category category) {
   return category_names[static_cast<size_t>(category)];
 }
@@ -94,9 +120,7 @@
                         Json::valueToQuotedString(value.c_str()));
   }
   line += "}\n";
-  // One call a line, so that lines of several threads do not mix.
-  std::fwrite(line.data(), 1, line.size(), stdout);
-  std::fflush(stdout);
+  write_line(line);
 }
 
 bool log_limiter::allow(int64_t second) {
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -18,6 +18,41 @@
 
 namespace turmeric {
 
+/** A target as the traffic thread sees it. */
+struct target_view {
+  std::string name;
+  std::string zone;
+  std::string service;
+  endpoint address;
+  flow_token token = 0;
+  bool open = false;  ///< Gets new flows.
+  bool draining = false;
+  time_us cold_left = 0;
+  uint32_t in_hand = 0;
+  uint32_t failures = 0;
+};
+
+/** A flow as the traffic thread remembers it. */
+struct flow_view {
+  flow_key key;
+  std::string target;
+  bool answered = false;
+  bool ended = false;
+  time_us quiet = 0;  ///< Since its last segment.
+};
+
+/** A copy of what the traffic thread knows. */
+struct segment_view {
+  forwarding_counters counters;
+  latency_histogram answer_times = make_latency_histogram();
+  size_t flows = 0;
+  uint64_t routing_version = 0;
+  time_us table_age = 0;
+  std::array<uint64_t, directory_kinds> revisions{};
+  std::vector<target_view> targets;
+  std::vector<flow_view> flow_list;  ///< Only where asked for.
+};
+
 /** Receives segments in batches, decides with a core, sends in batches. */
 class segment_runner {
  public:
@@ -43,8 +78,9 @@
   /** Replaces the snapshot; taken with the next batch. */
   void publish(update next);
 
-  /** @return A copy of the counters. */
-  forwarding_counters counters();
+  /** @return A copy of what the traffic thread knows.
+   * @param with_flows Whether to list the flows too. */
+  segment_view view(bool with_flows);
 
   /** @return When the last segment came; boot time, 0 for never. */
   time_us last_segment() const { return last_segment_; }
@@ -54,10 +90,12 @@
 
  private:
   struct batch;
+  target_view view_of(time_us now, const forwarding_target& target) const;
   void run();
   void await_first_table();
   int wait_ms();
   void write_events(time_us now);
+  void write_event(const forwarding_event& event, uint64_t suppressed) const;
   void take_update();
   void wake();
   void handle(time_us now, batch* b, int count);
@@ -68,7 +106,7 @@
   file_descriptor wake_;
   std::mutex core_mutex_;  ///< Held for a batch, or to copy the counters.
   forwarding_core core_;
-  log_limiter belief_lines_;
+  std::vector<log_limiter> lines_;  ///< By kind of event.
   std::mutex update_mutex_;
   std::optional<update> update_;
   bool published_ = false;  ///< Whether there has been a snapshot.
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -13,6 +13,7 @@
 #include <sstream>
 
 #include "directory_actor_internal.h"
+#include "forwarder_pages.h"
 #include "turmeric/platform/registry_func.h"
 #include "turmeric/protocol/codec_func.h"
 #include "turmeric/state/log_func.h"
@@ -106,6 +107,7 @@
 
 forwarding_options forwarding_options_of(const settings& s) {
   forwarding_options o;
+  o.log_one_in = static_cast<uint64_t>(s.number(setting::log_one_in));
   o.placing.zone = s.text(setting::instance_zone);
   o.placing.cold_overage = s.decimal(setting::forwarding_cold_overage);
   o.placing.cold_slack = s.decimal(setting::forwarding_cold_slack);
@@ -142,6 +144,9 @@
   void execute_one(publish_table& publication);
   void execute_one(const directory_note& note);
   http_response on_get(const std::string& target);
+  http_response on_metrics_get(const std::string& target);
+  forwarder_status status() const;
+  result<void> start_metrics();
   void wait_for_signal();
   void on_signal(int number);
   void begin_stop();
@@ -162,6 +167,11 @@
   std::vector<char> peer_buffer_;
   udp::endpoint peer_from_;
   http_server ready_server_;
+  http_server metrics_server_;
+  std::map<std::pair<directory_kind, registry_status>, uint64_t> calls_;
+  size_t peers_ = 0;
+  std::vector<std::string> silent_zones_;
+  time_us started_ = boot_now();
   asio_ns::signal_set signals_{loop_, SIGTERM, SIGINT, SIGHUP};
   asio_ns::steady_timer stop_timer_{loop_};
   asio_ns::steady_timer settings_timer_{loop_};
@@ -191,6 +201,9 @@
                 http_client(loop_, addresses.registry)},
       peer_buffer_(max_datagram),
       ready_server_(loop_, [this](const std::string& t) { return on_get(t); }),
+      metrics_server_(
+          loop_,
+          [this](const std::string& t) { return on_metrics_get(t); }),
       segments_(addresses.packets,
                 forwarding_options_of(options),
                 system_random()) {}
@@ -201,6 +214,8 @@
     started = bind_peers();
   if (started)
     started = ready_server_.start(addresses_.ready);
+  if (started)
+    started = start_metrics();
   if (!started)
     return started;
   // After the sockets are bound: packets that arrive meanwhile wait in them.
@@ -291,6 +306,7 @@
                  reply = platform::read_reply(call, answer.status, answer.body,
                                               boot_now());
                }
+               ++calls_[{call.kind, reply.status}];
                directory_->deliver(std::move(reply));
              });
 }
@@ -312,6 +328,9 @@
           fmt::format("{}", publication.table->routing_version())},
          {"targets", fmt::format("{}", publication.table->targets().size())}});
   }
+  peers_ = publication.balancers.size();
+  silent_zones_.assign(publication.silent_zones.begin(),
+                       publication.silent_zones.end());
   segments_.publish({std::move(publication.table), self_,
                      std::move(publication.balancers),
                      std::move(publication.silent_zones)});
@@ -330,6 +349,46 @@
   return {ready ? 200 : http_unavailable, "text/plain", ""};
 }
 
+result<void> forwarder::start_metrics() {
+  const std::string& text = settings_.text(setting::forwarding_metrics);
+  if (text.empty())
+    return boost::outcome_v2::success();
+  auto address = parse_endpoint(text);
+  if (!address)
+    return boost::outcome_v2::failure(address.error());
+  return metrics_server_.start(address.value());
+}
+
+forwarder_status forwarder::status() const {
+  forwarder_status out;
+  out.name = settings_.text(setting::instance_name);
+  out.zone = settings_.text(setting::instance_zone);
+  out.ready = complete_ && !stopping_;
+  out.stopping = stopping_;
+  out.uptime = boot_now() - started_;
+  out.peers = peers_;
+  out.silent_zones = silent_zones_;
+  out.calls = calls_;
+  return out;
+}
+
+http_response forwarder::on_metrics_get(const std::string& target) {
+  constexpr const char* json = "application/json";
+  constexpr std::string_view flows_path = "/flows/";
+  if (target == "/metrics")
+    return {200, "text/plain", metrics_text(status(), segments_.view(false))};
+  if (target == "/status")
+    return {200, json, status_json(status(), segments_.view(false))};
+  if (target == "/targets")
+    return {200, json, targets_json(segments_.view(false))};
+  if (target.rfind(flows_path, 0) == 0) {
+    auto caller = parse_endpoint(target.substr(flows_path.size()));
+    if (caller)
+      return {200, json, flows_json(segments_.view(true), caller.value())};
+  }
+  return {http_not_found, "text/plain", ""};
+}
+
 void forwarder::wait_for_signal() {
   signals_.async_wait(
       [this](const boost::system::error_code& code, int number) {
--- /dev/null
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -0,0 +1,157 @@
+/** @file forwarder_pages.cpp Pages for monitoring and operators. */
+#include "forwarder_pages.h"
+
+#include <fmt/format.h>
+
+#include "turmeric/state/json_func.h"
+#include "turmeric/state/log_func.h"
+#include "turmeric/state/metric_type.h"
+#include "turmeric/state/service_type.h"
+
+namespace turmeric {
+namespace {
+
+std::vector<metric_label> labels_of(const target_view& target) {
+  return {{"target", target.name},
+          {"zone", target.zone},
+          {"service", target.service}};
+}
+
+void add_counters(const segment_view& view, metric_writer* out) {
+  const forwarding_counters& c = view.counters;
+  uint64_t placed = 0;
+  for (size_t i = 0; i < c.reasons.size(); ++i) {
+    const auto reason = static_cast<forwarding_reason>(i);
+    out->add(metric::decisions, static_cast<double>(c.reasons[i]),
+             {{"reason", std::string(name_of(reason))}});
+    if (reason == forwarding_reason::opened ||
+        reason == forwarding_reason::moved)
+      placed += c.reasons[i];
+  }
+  out->add(metric::placed, static_cast<double>(placed - c.other_zone),
+           {{"placement", "own_zone"}});
+  out->add(metric::placed, static_cast<double>(c.other_zone),
+           {{"placement", "other_zone"}});
+  out->add(metric::unanswered, static_cast<double>(c.unanswered));
+  out->add(metric::doubts, static_cast<double>(c.doubts));
+  out->add(metric::malformed, static_cast<double>(c.malformed));
+  out->add(metric::flows, static_cast<double>(view.flows));
+}
+
+void add_targets(const segment_view& view, metric_writer* out) {
+  for (const auto& t : view.targets)
+    out->add(metric::in_hand, t.in_hand, labels_of(t));
+  for (const auto& t : view.targets)
+    out->add(metric::target_open, t.open ? 1 : 0, labels_of(t));
+  for (const auto& t : view.targets)
+    out->add(metric::target_failures, t.failures, labels_of(t));
+}
+
+void add_answer_times(const segment_view& view, metric_writer* out) {
+  double sum = 0;
+  const auto& axis = view.answer_times.axis(0);
+  for (int i = -1; i < axis.size(); ++i) {
+    sum += view.answer_times.at(i);
+    out->add(metric::answer_time, sum,
+             {{"le", fmt::format("{:.3g}", axis.value(i + 1))}}, "_bucket");
+  }
+  sum += view.answer_times.at(axis.size());
+  out->add(metric::answer_time, sum, {{"le", "+Inf"}}, "_bucket");
+  out->add(metric::answer_time, sum, {}, "_count");
+}
+
+Json::Value target_json(const target_view& t) {
+  Json::Value v;
+  v["name"] = t.name;
+  v["zone"] = t.zone;
+  v["service"] = t.service;
+  v["address"] = to_text(t.address);
+  v["token"] = fmt::format("{:08x}", t.token);
+  v["open"] = t.open;
+  v["draining"] = t.draining;
+  v["cold_left_ms"] = static_cast<Json::Int64>(t.cold_left / us_per_ms);
+  v["in_hand"] = t.in_hand;
+  v["failures"] = t.failures;
+  return v;
+}
+
+}  // namespace
+
+std::string metrics_text(const forwarder_status& status,
+                         const segment_view& view) {
+  metric_writer out;
+  add_counters(view, &out);
+  add_targets(view, &out);
+  add_answer_times(view, &out);
+  out.add(metric::table_age, static_cast<double>(view.table_age) / us_per_s);
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    out.add(metric::revision, static_cast<double>(view.revisions[i]),
+            {{"kind", std::string(name_of(static_cast<directory_kind>(i)))}});
+  }
+  for (const auto& [key, count] : status.calls) {
+    out.add(metric::calls, static_cast<double>(count),
+            {{"kind", std::string(name_of(key.first))},
+             {"status", std::string(name_of(key.second))}});
+  }
+  out.add(metric::peers, static_cast<double>(status.peers));
+  out.add(metric::silent_zones,
+          static_cast<double>(status.silent_zones.size()));
+  out.add(metric::ready, status.ready ? 1 : 0);
+  out.add(metric::uptime, static_cast<double>(status.uptime) / us_per_s);
+  out.add(metric::log_lost, static_cast<double>(log_lines_lost()),
+          {{"cause", "reader"}});
+  out.add(metric::log_lost, static_cast<double>(view.counters.events_lost),
+          {{"cause", "volume"}});
+  out.add(metric::log_bytes, static_cast<double>(log_bytes_written()));
+  return out.text();
+}
+
+std::string status_json(const forwarder_status& status,
+                        const segment_view& view) {
+  Json::Value v;
+  v["name"] = status.name;
+  v["zone"] = status.zone;
+  v["ready"] = status.ready;
+  v["stopping"] = status.stopping;
+  v["uptime_s"] = static_cast<double>(status.uptime) / us_per_s;
+  v["peers"] = static_cast<Json::UInt64>(status.peers);
+  v["silent_zones"] = Json::arrayValue;
+  for (const auto& zone : status.silent_zones)
+    v["silent_zones"].append(zone);
+  v["routing_version"] = static_cast<Json::UInt64>(view.routing_version);
+  v["table_age_ms"] = static_cast<Json::Int64>(view.table_age / us_per_ms);
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    v["revisions"][std::string(name_of(static_cast<directory_kind>(i)))] =
+        static_cast<Json::UInt64>(view.revisions[i]);
+  }
+  v["targets"] = static_cast<Json::UInt64>(view.targets.size());
+  v["flows"] = static_cast<Json::UInt64>(view.flows);
+  return json_text(v);
+}
+
+std::string targets_json(const segment_view& view) {
+  Json::Value v = Json::arrayValue;
+  for (const auto& t : view.targets)
+    v.append(target_json(t));
+  return json_text(v);
+}
+
+std::string flows_json(const segment_view& view, endpoint caller) {
+  Json::Value v = Json::arrayValue;
+  for (const auto& f : view.flow_list) {
+    if (f.key.caller.ip != caller.ip ||
+        (caller.port != 0 && f.key.caller.port != caller.port))
+      continue;
+    Json::Value flow;
+    flow["caller"] = to_text(f.key.caller);
+    flow["route"] = to_text(f.key.service);
+    flow["target"] = f.target;
+    flow["answered"] = f.answered;
+    flow["ended"] = f.ended;
+    flow["quiet_ms"] = static_cast<Json::Int64>(f.quiet / us_per_ms);
+    v.append(flow);
+  }
+  return json_text(v);
+}
+
+}  // namespace turmeric
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -2,6 +2,7 @@
 #include "turmeric/transport/segment_runner_base.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -25,8 +26,10 @@
 constexpr size_t packet_room =
     platform::header_bytes + platform::max_data_bytes + 1;
 constexpr int receive_buffer_bytes = 1 << 20;
-/** Lines a second about changes of belief. */
-constexpr int belief_lines_per_second = 50;
+/** Lines a second of each kind of event, about 300 bytes each. Beliefs and
+ * refusals explain failures; drops can be caused by anybody. */
+constexpr std::array<int, static_cast<size_t>(forwarding_event_kind::end)>
+    lines_per_second = {20, 20, 5, 20, 20, 20, 20};
 /** Longest sleep of the thread without anything to do. */
 constexpr time_us longest_wait = 10 * us_per_s;
 /** Time for which packets wait in the socket for the first snapshot; later the
@@ -100,7 +103,7 @@
                                random_source random)
     : local_(local),
       core_(std::move(options), std::move(random)),
-      belief_lines_(belief_lines_per_second) {}
+      lines_(lines_per_second.begin(), lines_per_second.end()) {}
 
 segment_runner::~segment_runner() {
   stop();
@@ -142,7 +145,7 @@
   if (!next.has_value())
     return;
   table_ = next->table;
-  core_.table(next->table);
+  core_.table(boot_now(), next->table);
   core_.set_balancers(next->self, std::move(next->balancers));
   core_.set_silent_zones(std::move(next->silent_zones));
 }
@@ -161,9 +164,45 @@
   }
 }
 
-forwarding_counters segment_runner::counters() {
+segment_view segment_runner::view(bool with_flows) {
+  const time_us now = boot_now();
   const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_.counters();
+  segment_view out;
+  out.counters = core_.counters();
+  out.answer_times = core_.answer_times();
+  out.flows = core_.flows();
+  const forwarding_table* table = core_.current_table();
+  if (table == nullptr)
+    return out;
+  out.routing_version = table->routing_version();
+  out.revisions = table->revisions();
+  out.table_age = now - core_.table_since();
+  for (const auto& [token, target] : table->targets())
+    out.targets.push_back(view_of(now, target));
+  if (!with_flows)
+    return out;
+  core_.for_each_flow([&](const flow_key& key, const flow_state& flow) {
+    const auto* target = table->target_of(flow.token);
+    out.flow_list.push_back({key, target == nullptr ? "" : target->entry.name,
+                             flow.answered, flow.ended, now - flow.seen});
+  });
+  return out;
+}
+
+target_view segment_runner::view_of(time_us now,
+                                    const forwarding_target& target) const {
+  target_view out;
+  out.name = target.entry.name;
+  out.zone = target.entry.zone;
+  out.service = target.entry.service;
+  out.address = target.entry.address;
+  out.token = target.token;
+  out.open = now < target.openings_until && now >= target.entry.cold_until;
+  out.draining = target.entry.draining;
+  out.cold_left = std::max<time_us>(target.entry.cold_until - now, 0);
+  out.in_hand = core_.placing().in_hand(target.token);
+  out.failures = core_.placing().failures(target.token);
+  return out;
 }
 
 int segment_runner::wait_ms() {
@@ -195,18 +234,43 @@
 
 void segment_runner::write_events(time_us now) {
   for (const auto& event : core_.take_events()) {
-    if (!belief_lines_.allow(now / us_per_s))
-      continue;
-    log(log_category::traffic, log_level::info, name_of(event.belief),
-        {{"target", event.target},
-         {"zone", event.zone},
-         {"flow", to_text(event.flow.caller)},
-         {"route", to_text(event.flow.service)},
-         {"failures", std::to_string(event.failures)},
-         {"in_hand", std::to_string(event.in_hand)},
-         {"since_opening_us", std::to_string(event.since_opening)},
-         {"suppressed", std::to_string(belief_lines_.take_suppressed())}});
+    log_limiter& lines = lines_[static_cast<size_t>(event.kind)];
+    if (lines.allow(now / us_per_s))
+      write_event(event, lines.take_suppressed());
+  }
+}
+
+void segment_runner::write_event(const forwarding_event& event,
+                                 uint64_t suppressed) const {
+  std::vector<log_field> fields = {
+      {"flow", to_text(event.flow.caller)},
+      {"route", to_text(event.flow.service)},
+      {"token", fmt::format("{:08x}", event.token)},
+      {"since_opening_us", std::to_string(event.since_opening)},
+      {"table_age_ms", std::to_string(event.table_age / us_per_ms)}};
+  if (event.reason != forwarding_reason::end)
+    fields.emplace_back("reason", name_of(event.reason));
+  if (!event.target.empty()) {
+    fields.emplace_back("target", event.target);
+    fields.emplace_back("zone", event.zone);
+    fields.emplace_back("failures", std::to_string(event.failures));
+    fields.emplace_back("in_hand", std::to_string(event.in_hand));
+  }
+  if (event.candidates != 0) {
+    fields.emplace_back("candidates", std::to_string(event.candidates));
+    fields.emplace_back("cost", fmt::format("{:.2f}", event.cost));
+  }
+  if (table_ != nullptr) {
+    fields.emplace_back("routing_version",
+                        std::to_string(table_->routing_version()));
+    fields.emplace_back(
+        "targets_revision",
+        std::to_string(
+            table_->revisions()[static_cast<size_t>(directory_kind::targets)]));
   }
+  if (suppressed != 0)
+    fields.emplace_back("suppressed", std::to_string(suppressed));
+  log(log_category::traffic, log_level::info, name_of(event.kind), fields);
 }
 
 void segment_runner::handle(time_us now, batch* b, int count) {
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -50,7 +50,7 @@
 struct player {
   explicit player(const world& w, uint64_t seed = 1)
       : core(options(), fixed_random(seed)) {
-    core.table(w.table());
+    core.table(now, w.table());
   }
 
   static forwarding_options options() {
