--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -41,10 +41,10 @@
   /** Pause after a watch that brought changes, so that changes which come
    * together cost one call; small against the bounds on changes. */
   time_us watch_pause = 100 * us_per_ms;
-  time_us list_timeout = 700 * us_per_ms;   ///< First one; then doubled.
-  time_us max_list_timeout = 3 * us_per_s;  ///< For a slow registry.
-  time_us retry_min = 100 * us_per_ms;      ///< First retry.
-  time_us retry_max = 800 * us_per_ms;      ///< Longest back-off.
+  time_us list_timeout = 700 * us_per_ms;       ///< First one; then doubled.
+  time_us max_list_timeout = 1500 * us_per_ms;  ///< For a slow registry.
+  time_us retry_min = 100 * us_per_ms;          ///< First retry.
+  time_us retry_max = 500 * us_per_ms;          ///< Longest back-off.
   /** Time for which a target whose entry vanished without notice still gets
    * new flows: entries that lapsed with the registry are back by then, and
    * the bound on draining targets is above it. */
@@ -190,6 +190,7 @@
   /** Zones taken back at a revision that the targets are not yet known at:
    * their targets may have turned cold meanwhile. */
   std::map<std::string, uint64_t> lifted_;
+  std::map<std::string, uint64_t> last_lift_;  ///< By zone, for all times.
   uint64_t next_call_id_ = 1;
   uint64_t sequence_ = 0;
   time_us next_round_ = 0;
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -25,6 +25,9 @@
   /** An opening without a further segment of its caller after this counts as
    * unanswered: several times a usual handshake of 5 to 10 ms. */
   time_us answer_time = 40 * us_per_ms;
+  /** A copy that comes sooner after its opening was forwarded is none of the
+   * caller's 200 ms: both waited somewhere, and the target has had no time. */
+  time_us copy_time = 150 * us_per_ms;
   /** Time for which an opening is remembered: the caller gives up by then. */
   time_us opening_time = 1500 * us_per_ms;
   /** A flow without segments for this time no longer counts as work in hand:
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -84,13 +84,16 @@
   call.id = f.call = next_call_id_++;
   call.kind = kind;
   call.op = f.op = f.must_list ? registry_op::list : registry_op::watch;
-  if (f.must_list) {
-    if (!f.listed.empty())
-      call.after = f.listed.back().name;
+  if (!f.must_list)
+    call.revision = f.belief.mark().revision;
+  else if (!f.listed.empty())
+    call.after = f.listed.back().name;
+  if (f.must_list || f.lost) {
+    // Without a wait a watch brings what changed meanwhile; a long one on a
+    // registry that does not answer would hide its return.
     call.timeout =
         doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
   } else {
-    call.revision = f.belief.mark().revision;
     call.wait = duty_.zone_is_large(now, peers_) ? options_.duty_watch_wait
                                                  : options_.watch_wait;
     call.timeout = call.wait + options_.watch_margin;
@@ -249,6 +252,12 @@
     if (lifted_.size() != before)
       list_again(now, directory_kind::targets, out);
   }
+  if (kind == directory_kind::withdrawals) {
+    for (const auto& change : changes) {
+      if (change.removed)
+        last_lift_[change.name] = lifted_at;
+    }
+  }
   const size_t gated = lifted_.size();
   for (auto it = lifted_.begin(); it != lifted_.end();)
     it = it->second <= known ? lifted_.erase(it) : std::next(it);
@@ -302,6 +311,11 @@
     known.registered = entry.registered;
     if (!entry.registered)
       known.openings_until = entry.removed + options_.lapse_grace;
+    // Since its zone was taken back nothing has told whether it is cold.
+    const auto lift = last_lift_.find(known.entry.zone);
+    if (!entry.registered && lift != last_lift_.end() &&
+        entry.revision < lift->second)
+      known.openings_until = 0;
     // An entry that somebody overwrote names no target; open flows go on.
     if (!entry.problem.empty())
       known.openings_until = 0;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -108,12 +108,12 @@
                                                  const segment& s,
                                                  flow_state* flow) {
   const forwarding_target* first = table_->target_of(flow->token);
-  if (first == nullptr || flow->answered) {
-    if (first == nullptr)
-      return {
-          forwarding_act::drop, forwarding_reason::unknown_token, nullptr, {}};
-    return {forwarding_act::forward, forwarding_reason::repeated, first, {}};
+  if (first == nullptr) {
+    return {
+        forwarding_act::drop, forwarding_reason::unknown_token, nullptr, {}};
   }
+  if (flow->answered || now - flow->opened < options_.copy_time)
+    return {forwarding_act::forward, forwarding_reason::repeated, first, {}};
   hold_against(now, key_of(s), flow);
   const flow_token avoid = flow->token;
   const std::string service = first->entry.service;
--- a/tests/emulator/emu_plan.cpp
+++ b/tests/emulator/emu_plan.cpp
@@ -1,6 +1,7 @@
 /** @file emu_plan.cpp Draws runs. */
 #include "emu_plan.h"
 
+#include <algorithm>
 #include <random>
 
 namespace turmeric::tests {
@@ -10,6 +11,7 @@
 constexpr time_us last_trouble = 12 * us_per_s;
 constexpr time_us shortest = 300 * us_per_ms;
 constexpr time_us longest = 7 * us_per_s;
+constexpr time_us shortest_withdrawal = 5 * us_per_s;
 
 time_us between(std::mt19937_64* random, time_us low, time_us high) {
   return low +
@@ -22,6 +24,9 @@
   event.at = between(random, first_trouble, last_trouble);
   event.length = between(random, shortest, longest);
   event.pick = (*random)();
+  // Shorter ones end before anybody has to have heard of them.
+  if (trouble == emu_trouble::withdraw)
+    event.length = std::max(event.length, shortest_withdrawal);
   return event;
 }
 
@@ -50,6 +55,16 @@
   return options;
 }
 
+emu_rule rule_of(emu_plant plant) {
+  constexpr std::array<emu_rule, static_cast<size_t>(emu_plant::end)> rules = {
+      emu_rule::end,        emu_rule::draining,
+      emu_rule::withdrawal, emu_rule::configuration,
+      emu_rule::cold_start, emu_rule::open_flow,
+      emu_rule::open_flow,  emu_rule::service_isolation,
+      emu_rule::no_regress};
+  return rules[static_cast<size_t>(plant)];
+}
+
 emu_options planted_run(uint64_t seed, emu_plant plant) {
   emu_options options = draw_run(seed, 1);
   options.plant = plant;
--- a/tests/emulator/emu_plan.h
+++ b/tests/emulator/emu_plan.h
@@ -13,6 +13,9 @@
 /** @return A run with nothing but @p trouble. */
 emu_options single_run(uint64_t seed, emu_trouble trouble);
 
+/** @return The rule that @p plant breaks. */
+emu_rule rule_of(emu_plant plant);
+
 /** @return A run in which the rule of @p plant is tried. */
 emu_options planted_run(uint64_t seed, emu_plant plant);
 
--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -254,6 +254,9 @@
       mean / 2 + static_cast<time_us>(random() % static_cast<uint64_t>(mean));
   if (clock_.now() < t->cold_until)
     needed = static_cast<time_us>(static_cast<double>(needed) * cold_factor);
+  // Part of the answer arrives before the rest, and is acknowledged.
+  clock_.after(needed / 2 + options_.shape.to_caller,
+               [this, flow_number] { acknowledge(flow_number); });
   clock_.after(needed, [this, name = t->name, flow_number] {
     const auto it = targets_.find(name);
     if (it != targets_.end() && it->second->alive)
@@ -278,6 +281,17 @@
   }
 }
 
+void emu_world::acknowledge(uint64_t flow_number) {
+  const auto it = flows_.find(flow_number);
+  if (it == flows_.end() || it->second.over || !it->second.connected)
+    return;
+  segment s = it->second.head;
+  s.flags.acknowledges = true;
+  s.token = it->second.token;
+  s.acknowledged = it->second.acknowledged + 1;
+  send(it->second, s);
+}
+
 void emu_world::answered(uint64_t flow_number, flow_token token) {
   const auto it = flows_.find(flow_number);
   if (it == flows_.end() || it->second.over)
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -135,6 +135,7 @@
   void work_done(target* t, uint64_t flow_number);
   void to_caller(const target& t, std::function<void()> event);
   void connected(uint64_t flow_number, uint32_t sequence, flow_token token);
+  void acknowledge(uint64_t flow_number);
   void answered(uint64_t flow_number, flow_token token);
   void got_reset(uint64_t flow_number, bool from_target, const std::string& by);
   void attempt_failed(uint64_t flow_number, bool may_have_run);
@@ -155,6 +156,7 @@
   bool disturbed_now(size_t zone) const;
   void disturb_zone(size_t zone);
   void beat(const std::string& name);
+  void enter(target* t);
   void lapse_silent();
   target* add_target(const std::string& service,
                      size_t zone,
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -257,6 +257,37 @@
   BOOST_TEST(f.openings() == 1u);
 }
 
+// Found by the emulator (seed 879): the entries of a zone's targets lapsed
+// while the store was away, the zone was taken back, and for the grace of
+// lapsed entries its targets were used as the warm ones that they had been.
+BOOST_AUTO_TEST_CASE(lapsed_targets_of_a_zone_taken_back_get_no_grace) {
+  follower_fixture f;
+  f.load();
+  f.reply(directory_kind::withdrawals, 20,
+          {entry("north", 20, withdrawal_entry{"north"})});
+  f.reply(directory_kind::withdrawals, 30, {removal("north", 30)});
+  f.reply(directory_kind::targets, 31, {});
+  BOOST_TEST(f.openings() == 0u);
+  f.reply(directory_kind::targets, 40, {entry("i-1", 40, make_target("i-1"))});
+  BOOST_TEST(f.openings() == 1u);
+}
+
+// Found by the emulator (seed 1177): after the store had been silent, watches
+// on it were tried with their long time limit, and a balancer learnt 3 s late.
+BOOST_AUTO_TEST_CASE(lost_registry_is_tried_with_short_limits) {
+  follower_fixture f;
+  f.load();
+  for (int i = 0; i < 5; ++i) {
+    f.reply(directory_kind::targets, 0, {}, registry_status::unreachable);
+    f.advance(us_per_s);
+    BOOST_TEST(f.call(directory_kind::targets).timeout <= 1500 * us_per_ms);
+    BOOST_TEST(f.call(directory_kind::targets).wait == 0);
+  }
+  f.reply(directory_kind::targets, 40, {});
+  f.advance(10 * us_per_ms);
+  BOOST_TEST(f.call(directory_kind::targets).wait > us_per_s);
+}
+
 struct failure_row {
   const char* name;
   registry_status status;
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -355,6 +355,21 @@
   BOOST_TEST(second.target->entry.name != first.target->entry.name);
 }
 
+// Found by the emulator (seeds 159, 257): a balancer that had stood still found
+// an opening and its copy in the same batch and sent them to two targets; both
+// answered, and the caller's flow broke.
+BOOST_AUTO_TEST_CASE(copies_that_come_together_go_to_the_same_target) {
+  world w;
+  w.add("i-1", "north");
+  w.add("i-2", "north");
+  player p(w);
+  const auto first = p.open(1);
+  p.wait(50 * us_per_ms);
+  const auto second = p.open(1);
+  BOOST_TEST((second.reason == forwarding_reason::repeated));
+  BOOST_TEST(second.target->entry.name == first.target->entry.name);
+}
+
 // A copy that was late itself must not take an open flow elsewhere.
 BOOST_AUTO_TEST_CASE(repeated_opening_of_an_answered_flow_stays) {
   world w;
