--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -64,8 +64,9 @@
 /** Replaces the traffic thread's snapshot. */
 struct publish_table {
   std::shared_ptr<const forwarding_table> table;
-  std::vector<uint64_t> balancers;     ///< Other live ones, by hashed name.
-  std::set<std::string> silent_zones;  ///< Whose balancers are not heard.
+  std::vector<uint64_t> balancers;       ///< Other live ones, by hashed name.
+  std::vector<uint64_t> zone_balancers;  ///< Those of the own zone.
+  std::set<std::string> silent_zones;    ///< Whose balancers are not heard.
 };
 
 /** A line for the log about a change of belief. */
@@ -162,6 +163,7 @@
   void refresh(time_us now, const std::string& cause, actions* out);
   void list_again(time_us now, directory_kind kind, actions* out);
   void publish(time_us now, actions* out);
+  std::vector<uint64_t> zone_ids(time_us now) const;
   table_input make_input() const;
   void add_withdrawn(table_input* input) const;
   void on(time_us now, const peer_hello& hello, actions* out);
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -141,6 +141,11 @@
   /** Sets the balancers that share the cold targets. */
   void set_balancers(uint64_t self, std::vector<uint64_t> others);
 
+  /** Sets the other balancers of the own zone. */
+  void set_zone_balancers(std::vector<uint64_t> others) {
+    placement_.set_zone_balancers(std::move(others));
+  }
+
   /** Sets the zones whose balancers are not heard. */
   void set_silent_zones(std::set<std::string> zones) {
     placement_.set_silent_zones(std::move(zones));
@@ -197,8 +202,8 @@
                     const segment& s,
                     const forwarding_target& target);
   void remember(time_us now, const segment& s, flow_token token);
-  void end_flow(const flow_key& key);
-  void set_busy(flow_state* flow, bool busy);
+  void end_flow(time_us now, const flow_key& key);
+  void set_busy(time_us now, flow_state* flow, bool busy);
   void hold_against(time_us now, const flow_key& key, flow_state* flow);
   void note_answer(time_us now,
                    const flow_key& key,
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -100,7 +100,7 @@
   std::vector<endpoint> due_contacts(time_us now);
   bool alive(time_us now, const known_peer& peer) const;
   void update_sizes();
-  void take_turns(const std::vector<endpoint>& from,
+  void take_turns(std::vector<endpoint> from,
                   size_t count,
                   size_t* turn,
                   std::vector<endpoint>* out) const;
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -13,6 +13,7 @@
 #ifndef TURMERIC_COORDINATION_PLACEMENT_BASE_H_
 #define TURMERIC_COORDINATION_PLACEMENT_BASE_H_
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,12 +24,27 @@
 
 namespace turmeric {
 
+/** Chooses among targets that are open and warm; replaces the own choice.
+ * @param in_hand Flows in hand at a target, as seen by this balancer. */
+using placement_hook = std::function<const forwarding_target*(
+    const std::vector<const forwarding_target*>& open,
+    const std::function<uint32_t(flow_token)>& in_hand)>;
+
 /** Weights and times of placement. */
 struct placement_options {
-  std::string zone;  ///< Availability zone of this balancer.
-  /** Cost of a target in another zone, in shares of its slots: it is taken
-   * once the targets of the own zone have half as much in hand as that. */
+  placement_hook pick;  ///< For experiments; usually empty.
+  std::string zone;     ///< Availability zone of this balancer.
+  /** Cost of a target in another zone, in shares of its slots, while the own
+   * zone is idle. */
   double other_zone_cost = 0.75;
+  /** Share of the own zone's slots in use at which that cost has vanished: a
+   * balancer sees a part of the load only, and queues form above this. */
+  double own_zone_limit = 0.5;
+  /** Time over which the load of the own zone is averaged. */
+  time_us load_time = us_per_s;
+  /** Discount of targets whose slots this balancer shares with few others: less
+   * than one flow in hand, so that it only keeps balancers apart. */
+  double share_discount = 0.2;
   /** Cost of a target that left openings unanswered; more than any queue. */
   double doubt_cost = 100.0;
   /** First time for which an unanswered opening is held against a target:
@@ -80,10 +96,10 @@
   void flow_opened(time_us now, const forwarding_target& target);
 
   /** A flow no longer keeps the target busy. */
-  void flow_ended(flow_token token);
+  void flow_ended(time_us now, const forwarding_target& target);
 
   /** A flow keeps the target busy again. */
-  void flow_resumed(flow_token token);
+  void flow_resumed(time_us now, const forwarding_target& target);
 
   /** The caller got an answer from the target. */
   void answered(time_us now, const forwarding_target& target);
@@ -98,6 +114,9 @@
   /** @return Openings in a row that the target left unanswered. */
   uint32_t failures(flow_token token) const;
 
+  /** Sets the other balancers of the own zone. */
+  void set_zone_balancers(std::vector<uint64_t> others);
+
   /** Sets the zones whose balancers are not heard. */
   void set_silent_zones(std::set<std::string> zones) {
     silent_zones_ = std::move(zones);
@@ -129,11 +148,28 @@
     bool probing = false;
   };
 
+  /** Flows in hand at the own zone's targets of one service, averaged. */
+  struct zone_load {
+    uint32_t in_hand = 0;
+    double average = 0.0;
+    time_us updated = 0;
+  };
+
+  void add_load(time_us now, const forwarding_target& target, int change);
+  double own_zone_use(
+      time_us now,
+      const std::string& service,
+      const std::vector<const forwarding_target*>& candidates) const;
+  bool shares(const forwarding_target& target,
+              const std::vector<uint64_t>& others) const;
   bool zone_doubted(time_us now, const std::string& zone) const;
   double cost_of(time_us now, const forwarding_target& target) const;
   bool cold_allowed(time_us now, const forwarding_target& target);
   bool owns_cold(flow_token token) const;
   time_us cold_interval(const forwarding_target& target) const;
+  const forwarding_target* picked(
+      time_us now,
+      const std::vector<const forwarding_target*>& candidates) const;
   const forwarding_target* cheapest(
       time_us now,
       const std::vector<const forwarding_target*>& candidates,
@@ -148,6 +184,9 @@
   std::unordered_map<flow_token, evidence> evidence_;
   std::map<std::string, zone_evidence> zones_;
   std::set<std::string> silent_zones_;
+  std::map<std::string, zone_load> loads_;  ///< By service.
+  std::vector<uint64_t> zone_others_;
+  double zone_cost_ = 0.0;  ///< Of another zone, for the flow being placed.
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -329,6 +329,13 @@
   return input;
 }
 
+std::vector<uint64_t> directory_core::zone_ids(time_us now) const {
+  std::vector<uint64_t> out;
+  for (const known_peer* peer : peers_.alive_in_zone(now))
+    out.push_back(hash_name(peer->hello.name));
+  return out;
+}
+
 void directory_core::publish(time_us now, actions* out) {
   if (!complete())
     return;
@@ -337,7 +344,7 @@
   published_silent_ = peers_.silent_zones(now);
   out->push_back(
       publish_table{std::make_shared<const forwarding_table>(make_input()),
-                    published_balancers_, published_silent_});
+                    published_balancers_, zone_ids(now), published_silent_});
 }
 
 directory_core::actions directory_core::tick(time_us now) {
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -96,7 +96,7 @@
   if (it != flows_.end()) {
     if (!it->second.ended && now - it->second.opened < options_.opening_time)
       return on_repeated(now, s, &it->second);
-    end_flow(key_of(s));
+    end_flow(now, key_of(s));
   }
   const route_entry* route = table_->route_at(s.destination);
   if (route == nullptr)
@@ -117,7 +117,7 @@
   hold_against(now, key_of(s), flow);
   const flow_token avoid = flow->token;
   const std::string service = first->entry.service;
-  end_flow(key_of(s));
+  end_flow(now, key_of(s));
   forwarding_decision decision = open(now, s, service, avoid);
   if (decision.act == forwarding_act::forward) {
     decision.reason = decision.target->token == avoid
@@ -170,14 +170,14 @@
     if (!ends && flows_.size() < options_.max_flows) {
       remember(now, s, target.token);
       flows_[key].answered = true;
-      placement_.flow_resumed(target.token);
+      placement_.flow_resumed(now, target);
     }
     return;
   }
   flow_state& flow = it->second;
   if (flow.token != target.token) {
     // Another of the targets that the opening went to answered first.
-    set_busy(&flow, false);
+    set_busy(now, &flow, false);
     flow.token = target.token;
     flow.answered = false;
   }
@@ -194,9 +194,9 @@
     add_event(now, forwarding_event_kind::ended, key, target.token);
   flow.ended = flow.ended || ends;
   if (flow.ended) {
-    set_busy(&flow, false);
+    set_busy(now, &flow, false);
   } else if (!flow.busy) {
-    set_busy(&flow, true);
+    set_busy(now, &flow, true);
     quiet_checks_.push_back({now + options_.busy_time, key});
   }
 }
@@ -267,14 +267,17 @@
   events_.push_back(std::move(event));
 }
 
-void forwarding_core::set_busy(flow_state* flow, bool busy) {
+void forwarding_core::set_busy(time_us now, flow_state* flow, bool busy) {
   if (flow->busy == busy)
     return;
   flow->busy = busy;
+  const forwarding_target* target = table_->target_of(flow->token);
+  if (target == nullptr)
+    return;  // Gone, and what was counted of it too.
   if (busy)
-    placement_.flow_resumed(flow->token);
+    placement_.flow_resumed(now, *target);
   else
-    placement_.flow_ended(flow->token);
+    placement_.flow_ended(now, *target);
 }
 
 void forwarding_core::hold_against(time_us now,
@@ -290,11 +293,11 @@
   add_event(now, forwarding_event_kind::target_doubted, key, flow->token);
 }
 
-void forwarding_core::end_flow(const flow_key& key) {
+void forwarding_core::end_flow(time_us now, const flow_key& key) {
   const auto it = flows_.find(key);
   if (it == flows_.end())
     return;
-  set_busy(&it->second, false);
+  set_busy(now, &it->second, false);
   flows_.erase(it);
 }
 
@@ -325,7 +328,7 @@
       quiet_checks_.push_back({now + options_.busy_time, c.key});
       continue;
     }
-    set_busy(&it->second, false);
+    set_busy(now, &it->second, false);
     idle_checks_.push_back({now + options_.flow_time, c.key});
   }
 }
@@ -339,7 +342,7 @@
     if (it == flows_.end() || it->second.busy)
       continue;
     if (now - it->second.seen >= options_.flow_time)
-      end_flow(c.key);
+      end_flow(now, c.key);
   }
 }
 
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -5,6 +5,15 @@
 
 namespace turmeric {
 
+namespace {
+
+uint64_t order_of(uint64_t balancer, const endpoint& peer) {
+  return hash_pair(balancer,
+                   (static_cast<uint64_t>(peer.ip) << 16) | peer.port);
+}
+
+}  // namespace
+
 peer_table::peer_table(peer_options options) : options_(std::move(options)) {}
 
 void peer_table::add_contact(time_us now, endpoint address) {
@@ -40,10 +49,17 @@
   return started ? hello_news::started : hello_news::known;
 }
 
-void peer_table::take_turns(const std::vector<endpoint>& from,
+void peer_table::take_turns(std::vector<endpoint> from,
                             size_t count,
                             size_t* turn,
                             std::vector<endpoint>* out) const {
+  // Each balancer has an order of its own; in a common one all of a zone's
+  // heartbeats would reach a peer at the same time.
+  const uint64_t own = hash_name(options_.name);
+  std::sort(from.begin(), from.end(),
+            [own](const endpoint& a, const endpoint& b) {
+              return order_of(own, a) < order_of(own, b);
+            });
   for (size_t i = 0; i < std::min(count, from.size()); ++i)
     out->push_back(from[(*turn)++ % from.size()]);
 }
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -2,6 +2,7 @@
 #include "turmeric/coordination/placement_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace turmeric {
@@ -22,8 +23,14 @@
     : options_(std::move(options)), random_(std::move(random)) {}
 
 double placement::cost_of(time_us now, const forwarding_target& target) const {
-  double cost =
-      target.entry.zone == options_.zone ? 0.0 : options_.other_zone_cost;
+  const bool own_zone = target.entry.zone == options_.zone;
+  double cost = own_zone ? 0.0 : zone_cost_;
+  // While the own zone has room its balancers share its targets among them;
+  // beyond that all balancers share all targets.
+  const bool in_zone_only = zone_cost_ > 0;
+  if ((own_zone || !in_zone_only) &&
+      shares(target, in_zone_only ? zone_others_ : others_))
+    cost -= options_.share_discount;
   if (zone_doubted(now, target.entry.zone))
     cost += options_.silent_zone_cost;
   const auto it = evidence_.find(target.token);
@@ -65,6 +72,71 @@
   return best;
 }
 
+const forwarding_target* placement::picked(
+    time_us now,
+    const std::vector<const forwarding_target*>& candidates) const {
+  std::vector<const forwarding_target*> open;
+  for (const auto* target : candidates) {
+    if (now < target->openings_until && now >= target->entry.cold_until)
+      open.push_back(target);
+  }
+  if (open.empty())
+    return nullptr;
+  return options_.pick(open,
+                       [this](flow_token token) { return in_hand(token); });
+}
+
+void placement::add_load(time_us now,
+                         const forwarding_target& target,
+                         int change) {
+  if (target.entry.zone != options_.zone)
+    return;
+  zone_load& load = loads_[target.entry.service];
+  const double passed = static_cast<double>(now - load.updated) /
+                        static_cast<double>(options_.load_time);
+  const double kept = std::exp(-std::max(passed, 0.0));
+  load.average = load.average * kept + load.in_hand * (1.0 - kept);
+  load.updated = now;
+  if (change > 0 || load.in_hand != 0)
+    load.in_hand += static_cast<uint32_t>(change);
+}
+
+double placement::own_zone_use(
+    time_us now,
+    const std::string& service,
+    const std::vector<const forwarding_target*>& candidates) const {
+  const auto it = loads_.find(service);
+  if (it == loads_.end())
+    return 0.0;
+  double slots = 0.0;
+  for (const auto* target : candidates) {
+    if (target->entry.zone == options_.zone && now < target->openings_until)
+      slots += target->entry.slots;
+  }
+  // Routers spread the zone's callers evenly over its balancers.
+  const double all =
+      it->second.average * static_cast<double>(zone_others_.size() + 1);
+  return slots == 0.0 ? 0.0 : all / slots;
+}
+
+bool placement::shares(const forwarding_target& target,
+                       const std::vector<uint64_t>& others) const {
+  for (uint64_t slot = 0; slot < target.entry.slots; ++slot) {
+    const uint64_t key = hash_pair(target.token, slot);
+    const uint64_t own = hash_pair(key, self_);
+    const bool first = std::none_of(
+        others.begin(), others.end(),
+        [&](uint64_t other) { return hash_pair(key, other) < own; });
+    if (first)
+      return true;
+  }
+  return false;
+}
+
+void placement::set_zone_balancers(std::vector<uint64_t> others) {
+  zone_others_ = std::move(others);
+}
+
 bool placement::owns_cold(flow_token token) const {
   const uint64_t own = hash_pair(token, self_);
   const auto before = [&](uint64_t other) {
@@ -98,6 +170,13 @@
   placement_choice choice;
   const auto& candidates = table.openings_of(service);
   choice.candidates = candidates.size();
+  if (options_.pick) {
+    choice.target = picked(now, candidates);
+    return choice;
+  }
+  const double use = own_zone_use(now, service, candidates);
+  zone_cost_ = options_.other_zone_cost *
+               std::max(0.0, 1.0 - use / options_.own_zone_limit);
   choice.target = cheapest(now, candidates, false, avoid, &choice.cost);
   if (choice.target == nullptr && avoid != 0)
     choice.target = cheapest(now, candidates, false, 0, &choice.cost);
@@ -122,6 +201,7 @@
 void placement::flow_opened(time_us now, const forwarding_target& target) {
   evidence& e = evidence_[target.token];
   ++e.in_hand;
+  add_load(now, target, 1);
   if (e.failures != 0 && now >= e.doubted_until)
     e.probing = true;
   zone_evidence& zone = zones_[target.entry.zone];
@@ -130,14 +210,17 @@
     zone.probing = true;
 }
 
-void placement::flow_ended(flow_token token) {
-  evidence& e = evidence_[token];
-  if (e.in_hand != 0)
-    --e.in_hand;
+void placement::flow_ended(time_us now, const forwarding_target& target) {
+  evidence& e = evidence_[target.token];
+  if (e.in_hand == 0)
+    return;
+  --e.in_hand;
+  add_load(now, target, -1);
 }
 
-void placement::flow_resumed(flow_token token) {
-  ++evidence_[token].in_hand;
+void placement::flow_resumed(time_us now, const forwarding_target& target) {
+  ++evidence_[target.token].in_hand;
+  add_load(now, target, 1);
 }
 
 void placement::answered(time_us now, const forwarding_target& target) {
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -71,9 +71,10 @@
   /** What the control thread hands over. */
   struct update {
     std::shared_ptr<const forwarding_table> table;
-    uint64_t self = 0;                   ///< This balancer, by hashed name.
-    std::vector<uint64_t> balancers;     ///< Other live ones.
-    std::set<std::string> silent_zones;  ///< Whose balancers are not heard.
+    uint64_t self = 0;                     ///< This balancer, by hashed name.
+    std::vector<uint64_t> balancers;       ///< Other live ones.
+    std::vector<uint64_t> zone_balancers;  ///< Those of the own zone.
+    std::set<std::string> silent_zones;    ///< Whose balancers are not heard.
   };
 
   /** Sets what to call, on the traffic thread, after this process stood still.
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -339,6 +339,7 @@
                        publication.silent_zones.end());
   segments_.publish({std::move(publication.table), self_,
                      std::move(publication.balancers),
+                     std::move(publication.zone_balancers),
                      std::move(publication.silent_zones)});
 }
 
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -150,6 +150,7 @@
   table_ = next->table;
   core_.table(boot_now(), next->table);
   core_.set_balancers(next->self, std::move(next->balancers));
+  core_.set_zone_balancers(std::move(next->zone_balancers));
   core_.set_silent_zones(std::move(next->silent_zones));
 }
 
--- a/tests/emulator/emu_rules.cpp
+++ b/tests/emulator/emu_rules.cpp
@@ -93,6 +93,22 @@
   }
 }
 
+void emu_world::measure_imbalance() {
+  const auto targets = static_cast<double>(options_.shape.services[0].targets);
+  double sum = 0;
+  for (const auto& [second, counts] : openings_) {
+    uint64_t total = 0;
+    uint64_t most = 0;
+    for (const auto& [name, count] : counts) {
+      total += count;
+      most = std::max(most, count);
+    }
+    sum += static_cast<double>(most) * targets / static_cast<double>(total);
+  }
+  if (!openings_.empty())
+    report_.imbalance = sum / static_cast<double>(openings_.size());
+}
+
 void emu_world::check_service() {
   uint64_t asked = 0;
   uint64_t served = 0;
--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -31,7 +31,7 @@
   while (r.kind + 1 < shape.classes.size() &&
          point >= shape.classes[r.kind].weight)
     point -= shape.classes[r.kind++].weight;
-  r.zone = random() % shape.zones;
+  r.zone = shape.uneven && chance(0.5) ? 0 : random() % shape.zones;
   r.asked = clock_.now();
   ++report_.classes[r.kind].asked;
   requests_[r.number] = r;
@@ -161,6 +161,8 @@
                            uint64_t flow_number,
                            const segment& s) {
   check_opening(*from, t, flow_number, s);
+  if (t->service == options_.shape.services[0].name)
+    ++openings_[clock_.now() / us_per_s][t->name];
   auto [it, added] = t->flows.try_emplace(flow_number);
   if (added)
     it->second.sequence = static_cast<uint32_t>(random() | 1);
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "turmeric/state/directory_type.h"
+#include "turmeric/coordination/placement_base.h"
 
 namespace turmeric::tests {
 
@@ -117,6 +117,7 @@
   time_us store_delay = 4 * us_per_ms;
   time_us heartbeat = 770 * us_per_ms;
   double cold_bound = 5.0;
+  bool uneven = false;  ///< Half of the callers are in the first zone.
 };
 
 /** A run. */
@@ -127,6 +128,8 @@
   time_us length = 20 * us_per_s;
   std::vector<emu_event> events;
   emu_plant plant = emu_plant::none;
+  /** Makes the placement hook of a balancer; null for the product's choice. */
+  std::function<placement_hook(size_t balancer)> placement;
 };
 
 /** A broken promise. */
@@ -153,6 +156,9 @@
   uint64_t refused = 0;
   uint64_t registry_calls = 0;
   uint64_t peer_messages = 0;
+  /** Most loaded target over the mean of the first service, by openings in a
+   * second; mean over all seconds. */
+  double imbalance = 0;
   /** Requests asked and served in time, by the second they were asked in. */
   std::vector<std::pair<uint64_t, uint64_t>> seconds;
 };
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -79,6 +79,7 @@
   plan_events();
   clock_.run_until(start_ + options_.length);
   check_service();
+  measure_imbalance();
   return report_;
 }
 
@@ -120,6 +121,8 @@
   forwarding_options forwarding;
   forwarding.placing.zone = zone_name(b->zone);
   forwarding.log_one_in = 0;
+  if (options_.placement)
+    forwarding.placing.pick = options_.placement(b->number);
   b->forwarding = std::make_unique<forwarding_core>(forwarding, source);
   const uint64_t life = b->life;
   clock_.after(boot_time, [this, b, life] {
@@ -276,6 +279,7 @@
   b->ready = true;
   b->forwarding->table(clock_.now(), published.table);
   b->forwarding->set_balancers(hash_name(b->name), published.balancers);
+  b->forwarding->set_zone_balancers(published.zone_balancers);
   b->forwarding->set_silent_zones(published.silent_zones);
   if (options_.plant == emu_plant::old_configuration && chance(0.2))
     b->routing_version = UINT64_MAX;
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -176,6 +176,7 @@
   void check_astray(const target& t, flow* f);
   void check_configuration(const balancer& b);
   void check_service();
+  void measure_imbalance();
 
   bool chance(double share);
   uint64_t random() { return random_(); }
@@ -201,6 +202,8 @@
   uint32_t next_address_ = 1;
   time_us start_ = 0;       ///< Of the first request.
   time_us calm_since_ = 0;  ///< End of the last trouble.
+  /** Openings of the first service by second and target. */
+  std::map<time_us, std::map<std::string, uint64_t>> openings_;
   emu_report report_;
 };
 
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -521,6 +521,43 @@
   BOOST_TEST(f.call(directory_kind::targets).revision == 20u);
 }
 
+// Found by bench placement with 80 balancers: all of a zone's balancers went
+// through the others in the same order, so that each heard of the zone in one
+// burst and then nothing for 13 s, and took it for silent.
+BOOST_AUTO_TEST_CASE(rounds_of_a_zone_reach_a_peer_evenly) {
+  constexpr uint32_t per_zone = 27;
+  std::vector<peer_table> zone;
+  for (uint32_t i = 0; i < per_zone; ++i) {
+    peer_options options;
+    options.name = "front-" + std::to_string(i);
+    options.zone = "north";
+    options.address = {i + 1, 1};
+    zone.emplace_back(options);
+    for (uint32_t other = 0; other < 2 * per_zone; ++other) {
+      peer_hello hello;
+      hello.name = "far-" + std::to_string(other);
+      hello.zone = "south";
+      hello.address = {1000 + other, 1};
+      hello.incarnation = hello.sequence = 1;
+      zone.back().on_hello(us_per_s, hello);
+    }
+  }
+  const endpoint receiver{1007, 1};
+  int quiet = 0;
+  int longest_quiet = 0;
+  for (int round = 0; round < 60; ++round) {
+    size_t heard = 0;
+    for (auto& peers : zone) {
+      const auto to = peers.next_round(us_per_s, false);
+      heard += static_cast<size_t>(std::count(to.begin(), to.end(), receiver));
+    }
+    quiet = heard == 0 ? quiet + 1 : 0;
+    longest_quiet = std::max(longest_quiet, quiet);
+  }
+  // Rounds of half a second; a zone counts as silent after 2.2 s.
+  BOOST_TEST(longest_quiet <= 4);
+}
+
 BOOST_AUTO_TEST_CASE(replayed_heartbeats_are_ignored) {
   peer_options options;
   options.name = "front-1";
