--- a/apps/turmericstream/explain_page.cpp
+++ b/apps/turmericstream/explain_page.cpp
@@ -17,10 +17,12 @@
 constexpr size_t max_background = 40;
 
 /** Fields that say what a decision rested on, in the order of the page. */
-constexpr std::array<const char*, 14> shown_fields = {
-    "reason",     "target",   "zone",   "failures",         "in_hand",
-    "candidates", "cost",     "token",  "since_opening_us", "kind",
-    "name",       "revision", "source", "table_age_ms"};
+constexpr std::array<const char*, 17> shown_fields = {
+    "reason",           "target",     "zone",   "failures",
+    "in_hand",          "candidates", "cost",   "token",
+    "since_opening_us", "kind",       "name",   "revision",
+    "source",           "peer",       "status", "cause",
+    "table_age_ms"};
 
 explained_line line_of(const Json::Value& v) {
   explained_line out;
