--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -41,10 +41,16 @@
   /** Pause after a watch that brought changes, so that changes which come
    * together cost one call; small against the bounds on changes. */
   time_us watch_pause = 100 * us_per_ms;
-  time_us list_timeout = 700 * us_per_ms;       ///< First one; then doubled.
-  time_us max_list_timeout = 1500 * us_per_ms;  ///< For a slow registry.
-  time_us retry_min = 100 * us_per_ms;          ///< First retry.
-  time_us retry_max = 500 * us_per_ms;          ///< Longest back-off.
+  /** First time limit of a list, then doubled: 400 KB take half a second on the
+   * smallest instances and links. */
+  time_us list_timeout = 1200 * us_per_ms;
+  time_us max_list_timeout = 3 * us_per_s;
+  /** The same for a watch without a wait on a registry that does not answer:
+   * many times a usual answer, also of a slow registry. */
+  time_us probe_timeout = 700 * us_per_ms;
+  time_us max_probe_timeout = 1500 * us_per_ms;
+  time_us retry_min = 100 * us_per_ms;  ///< First retry.
+  time_us retry_max = 500 * us_per_ms;  ///< Longest back-off.
   /** Time for which a target whose entry vanished without notice still gets
    * new flows: entries that lapsed with the registry are back by then, and
    * the bound on draining targets is above it. */
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -88,11 +88,14 @@
     call.revision = f.belief.mark().revision;
   else if (!f.listed.empty())
     call.after = f.listed.back().name;
-  if (f.must_list || f.lost) {
+  if (f.must_list) {
+    call.timeout =
+        doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
+  } else if (f.lost) {
     // Without a wait a watch brings what changed meanwhile; a long one on a
     // registry that does not answer would hide its return.
     call.timeout =
-        doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
+        doubled(options_.probe_timeout, f.failures, options_.max_probe_timeout);
   } else {
     call.wait = duty_.zone_is_large(now, peers_) ? options_.duty_watch_wait
                                                  : options_.watch_wait;
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "turmeric/coordination/placement_base.h"
+#include "turmeric/state/peer_message_type.h"
 
 namespace turmeric::tests {
 
@@ -128,6 +129,8 @@
   time_us length = 20 * us_per_s;
   std::vector<emu_event> events;
   emu_plant plant = emu_plant::none;
+  /** Sees every message between balancers. */
+  std::function<void(const peer_message&)> observe;
   /** Makes the placement hook of a balancer; null for the product's choice. */
   std::function<placement_hook(size_t balancer)> placement;
 };
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -226,7 +226,7 @@
 }
 
 void emu_world::execute_one(balancer* b, const registry_call& call) {
-  ++report_.registry_calls;
+  report_.registry_calls += started() ? 1 : 0;
   const uint64_t life = b->life;
   // The call fails at its time limit unless an answer came before.
   auto open = std::make_shared<bool>(true);
@@ -259,7 +259,11 @@
 }
 
 void emu_world::execute_one(balancer* b, const send_peer_message& message) {
-  ++report_.peer_messages;
+  if (started()) {
+    ++report_.peer_messages;
+    if (options_.observe)
+      options_.observe(message.body);
+  }
   for (const auto& other : balancers_) {
     balancer* to = other.get();
     if (!(to->address == message.to))
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -178,6 +178,8 @@
   void check_service();
   void measure_imbalance();
 
+  /** @return Whether the lead is over; starts are not counted. */
+  bool started() const { return start_ != 0 && clock_.now() >= start_; }
   bool chance(double share);
   uint64_t random() { return random_(); }
 
