--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -30,9 +30,10 @@
  * refusals explain failures; drops can be caused by anybody. */
 constexpr std::array<int, static_cast<size_t>(forwarding_event_kind::end)>
     lines_per_second = {20, 20, 5, 20, 20, 20, 20};
-/** A thread that sleeps this much longer than it asked to was not run; above
- * what a slow instance's scheduler takes. */
-constexpr time_us noticed_pause = us_per_s;
+/** A thread that sleeps this much longer than it asked to was not run. Routers
+ * probe twice a second and move flows after two misses, so that a shorter pause
+ * moves none. */
+constexpr time_us noticed_pause = 500 * us_per_ms;
 /** Longest sleep of the thread without anything to do. */
 constexpr time_us longest_wait = 10 * us_per_s;
 /** Time for which packets wait in the socket for the first snapshot; later the
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -15,7 +15,7 @@
 /** The operator and the targets try again after this. */
 constexpr time_us write_retry = 50 * us_per_ms;
 /** Pauses that the program notices. */
-constexpr time_us noticed_pause = us_per_s;
+constexpr time_us noticed_pause = 500 * us_per_ms;
 constexpr size_t most_extra_routes = 40;
 
 }  // namespace
