--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -2,7 +2,6 @@
 #include "turmeric/transport/forwarder_base.h"
 
 #include <fmt/format.h>
-#include <sys/stat.h>
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -10,10 +9,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <sstream>
 
 #include "directory_actor_internal.h"
 #include "forwarder_pages.h"
+#include "forwarder_settings.h"
 #include "turmeric/platform/registry_func.h"
 #include "turmeric/protocol/fragment_base.h"
 #include "turmeric/state/log_func.h"
@@ -44,84 +43,6 @@
 constexpr int http_unavailable = 503;
 constexpr int http_not_found = 404;
 
-/** Addresses of one balancer, read from its settings. */
-struct forwarder_addresses {
-  endpoint packets;
-  endpoint ready;
-  endpoint peers;
-  endpoint registry;
-};
-
-result<forwarder_addresses> addresses_of(const settings& s) {
-  forwarder_addresses out;
-  const std::array<std::pair<setting, endpoint*>, 4> wanted = {{
-      {setting::forwarding_packets, &out.packets},
-      {setting::forwarding_ready, &out.ready},
-      {setting::forwarding_peers, &out.peers},
-      {setting::forwarding_registry, &out.registry},
-  }};
-  for (const auto& [id, address] : wanted) {
-    auto parsed = parse_endpoint(s.text(id));
-    if (!parsed) {
-      const auto& row = setting_table()[static_cast<size_t>(id)];
-      return fail(result_code::setting_out_of_range,
-                  fmt::format("{}.{} is '{}', expected IP:PORT", row.section,
-                              row.name, s.text(id)));
-    }
-    *address = parsed.value();
-  }
-  return out;
-}
-
-/** Reads the seeds; each gets the port that all balancers use. */
-std::vector<endpoint> seeds_of(const settings& s, uint16_t port) {
-  std::vector<endpoint> out;
-  std::istringstream list(s.text(setting::forwarding_seeds));
-  std::string item;
-  while (std::getline(list, item, ',')) {
-    if (item.find(':') == std::string::npos)
-      item += ":1";
-    auto parsed = parse_endpoint(item);
-    if (parsed) {
-      out.push_back({parsed.value().ip, port});
-    } else {
-      log(log_category::control, log_level::warning, "seed is no address",
-          {{"seed", item}});
-    }
-  }
-  return out;
-}
-
-directory_options directory_options_of(const settings& s,
-                                       const forwarder_addresses& addresses) {
-  directory_options o;
-  o.peers.name = s.text(setting::instance_name);
-  o.peers.zone = s.text(setting::instance_zone);
-  o.peers.address = addresses.peers;
-  o.seeds = seeds_of(s, addresses.peers.port);
-  o.incarnation = static_cast<uint64_t>(wall_now());
-  o.keep_removed =
-      static_cast<time_us>(s.decimal(setting::forwarding_max_flow) * us_per_s);
-  return o;
-}
-
-forwarding_options forwarding_options_of(const settings& s) {
-  forwarding_options o;
-  o.log_one_in = static_cast<uint64_t>(s.number(setting::log_one_in));
-  o.placing.zone = s.text(setting::instance_zone);
-  o.placing.cold_overage = s.decimal(setting::forwarding_cold_overage);
-  o.placing.cold_slack = s.decimal(setting::forwarding_cold_slack);
-  return o;
-}
-
-/** Time of the last change of a file; 0 if it cannot be read. */
-int64_t changed_at(const std::string& path) {
-  struct stat info {};
-  if (stat(path.c_str(), &info) != 0)
-    return 0;
-  return info.st_mtim.tv_sec * us_per_s + info.st_mtim.tv_nsec;
-}
-
 /** Everything of one running balancer. */
 class forwarder {
  public:
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -1,7 +1,6 @@
 /** @file segment_runner.cpp Event loop of the traffic thread. */
 #include "turmeric/transport/segment_runner_base.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <poll.h>
 #include <sys/eventfd.h>
@@ -16,6 +15,7 @@
 #include "turmeric/state/log_func.h"
 #include "turmeric/state/service_type.h"
 #include "turmeric/transport/clock_func.h"
+#include "turmeric/transport/socket_address_func.h"
 
 namespace turmeric {
 namespace {
@@ -40,14 +40,6 @@
  * callers have repeated them. */
 constexpr int first_table_wait_ms = 400;
 
-sockaddr_in to_sockaddr(endpoint e) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_port = htons(e.port);
-  out.sin_addr.s_addr = htonl(e.ip);
-  return out;
-}
-
 error system_error(const char* what) {
   return error{result_code::internal,
                std::string(what) + ": " + std::strerror(errno), "", 0};
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -1,5 +1,4 @@
 /** @file soak_traffic.cpp Targets and callers on one thread. */
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -10,6 +9,7 @@
 #include "soak_site.h"
 #include "turmeric/platform/segment_func.h"
 #include "turmeric/transport/clock_func.h"
+#include "turmeric/transport/socket_address_func.h"
 
 namespace turmeric::tests {
 namespace {
@@ -26,14 +26,6 @@
 /** Start of a target's name; hex digits name it in front of segments. */
 constexpr uint64_t first_number = 0xa0;
 
-sockaddr_in to_sockaddr(endpoint e) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_port = htons(e.port);
-  out.sin_addr.s_addr = htonl(e.ip);
-  return out;
-}
-
 file_descriptor bind_udp(endpoint e) {
   file_descriptor fd(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0));
   const sockaddr_in address = to_sockaddr(e);
--- /dev/null
+++ b/tests/unit/directory_fixture.h
@@ -0,0 +1,142 @@
+/** @file directory_fixture.h A directory core with its open calls, and entries
+ * to feed it. */
+#ifndef TURMERIC_TESTS_UNIT_DIRECTORY_FIXTURE_H_
+#define TURMERIC_TESTS_UNIT_DIRECTORY_FIXTURE_H_
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "turmeric/coordination/directory_core_base.h"
+
+namespace turmeric {
+
+constexpr endpoint own_address{0x0a010001, 7720};
+constexpr endpoint peer_address{0x0a010002, 7720};
+
+inline directory_options options_of(const std::string& name, endpoint address) {
+  directory_options o;
+  o.peers.name = name;
+  o.peers.zone = "north";
+  o.peers.address = address;
+  o.incarnation = hash_name(name);
+  return o;
+}
+
+inline random_source fixed_random() {
+  return [n = uint64_t{0}]() mutable { return hash_pair(++n, 1); };
+}
+
+/** A target as it would register itself. */
+inline target_entry make_target(const std::string& name) {
+  target_entry t;
+  t.name = name;
+  t.number = hash_name(name);
+  t.service = "notes";
+  t.zone = "north";
+  t.address = {0x0a020001, 8080};
+  t.slots = 2;
+  return t;
+}
+
+inline directory_change entry(const std::string& name,
+                              uint64_t revision,
+                              directory_value value) {
+  directory_change change;
+  change.name = name;
+  change.revision = revision;
+  change.value = std::make_shared<const directory_value>(std::move(value));
+  return change;
+}
+
+inline directory_change removal(const std::string& name, uint64_t revision) {
+  directory_change change;
+  change.name = name;
+  change.revision = revision;
+  change.removed = true;
+  return change;
+}
+
+inline routing_entry make_routing(uint64_t version) {
+  routing_entry routing;
+  routing.version = version;
+  route_entry route;
+  route.address = {0xc6120001, 443};
+  route.services = {{"notes", 1}};
+  routing.routes = {route};
+  return routing;
+}
+
+/** A directory core with its open calls and its newest table. */
+struct follower_fixture {
+  explicit follower_fixture(directory_options options = options_of("front-1",
+                                                                   own_address))
+      : core(std::move(options), fixed_random()) {
+    take(core.start(now));
+  }
+
+  void take(directory_core::actions actions) {
+    for (auto& action : actions) {
+      if (const auto* call = std::get_if<registry_call>(&action))
+        calls[static_cast<size_t>(call->kind)] = *call;
+      if (auto* sent = std::get_if<send_peer_message>(&action))
+        messages.push_back(*sent);
+      if (auto* published = std::get_if<publish_table>(&action))
+        table = published->table;
+      if (const auto* note = std::get_if<directory_note>(&action))
+        notes.push_back(note->message);
+    }
+  }
+
+  const registry_call& call(directory_kind kind) const {
+    return calls[static_cast<size_t>(kind)];
+  }
+
+  void reply(directory_kind kind,
+             uint64_t revision,
+             std::vector<directory_change> changes,
+             registry_status status = registry_status::ok) {
+    // After changes the next watch starts a little later.
+    if (call(kind).id == answered[static_cast<size_t>(kind)])
+      advance(directory_options().watch_pause);
+    answered[static_cast<size_t>(kind)] = call(kind).id;
+    registry_reply r;
+    r.id = call(kind).id;
+    r.status = status;
+    r.revision = revision;
+    r.changes = std::move(changes);
+    take(core.on_reply(now, r));
+  }
+
+  /** Answers all lists: one target, one route, no zone withdrawn. */
+  void load() {
+    reply(directory_kind::routing, 10, {entry("main", 2, make_routing(1))});
+    reply(directory_kind::targets, 10, {entry("i-1", 3, make_target("i-1"))});
+    reply(directory_kind::withdrawals, 10, {});
+  }
+
+  void advance(time_us by) {
+    now += by;
+    take(core.tick(now));
+  }
+
+  size_t openings() const {
+    size_t count = 0;
+    for (const auto* target : table->openings_of("notes"))
+      count += now < target->openings_until ? 1 : 0;
+    return count;
+  }
+
+  time_us now = 1000 * us_per_s;
+  directory_core core;
+  std::array<registry_call, directory_kinds> calls;
+  std::array<uint64_t, directory_kinds> answered{};
+  std::vector<send_peer_message> messages;
+  std::vector<std::string> notes;
+  std::shared_ptr<const forwarding_table> table;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_TESTS_UNIT_DIRECTORY_FIXTURE_H_
--- /dev/null
+++ b/tests/unit/peer_test.cpp
@@ -0,0 +1,328 @@
+/** @file peer_test.cpp Sharing the directory among balancers. */
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "directory_fixture.h"
+
+namespace turmeric {
+
+BOOST_AUTO_TEST_SUITE(peer_suite)
+
+// Found on the users' bench: a balancer that starts while its zone is cut off
+// reaches neither the registry nor its seeds; its neighbours know its address.
+BOOST_AUTO_TEST_CASE(neighbour_that_starts_again_learns_everything_at_once) {
+  follower_fixture teacher;
+  teacher.load();
+  auto options = options_of("front-2", peer_address);
+  follower_fixture pupil(options);
+  pupil.messages.clear();
+  // The neighbour remembers the address and sends its next heartbeat.
+  peer_hello hello;
+  hello.name = "front-2";
+  hello.zone = "north";
+  hello.address = peer_address;
+  hello.incarnation = options.incarnation - 1;
+  hello.sequence = 1;
+  hello.marks = {teacher.core.belief(directory_kind::targets).mark(),
+                 teacher.core.belief(directory_kind::routing).mark(),
+                 teacher.core.belief(directory_kind::withdrawals).mark()};
+  teacher.take(teacher.core.on_peer(teacher.now, hello));
+  teacher.messages.clear();
+  teacher.advance(us_per_s);
+  for (int round = 0; round < 3; ++round) {
+    const auto to_pupil = std::exchange(teacher.messages, {});
+    for (const auto& m : to_pupil)
+      pupil.take(pupil.core.on_peer(pupil.now, m.body));
+    const auto to_teacher = std::exchange(pupil.messages, {});
+    for (const auto& m : to_teacher)
+      teacher.take(teacher.core.on_peer(teacher.now, m.body));
+  }
+  BOOST_REQUIRE(pupil.table != nullptr);
+  BOOST_TEST(pupil.openings() == 1u);
+}
+
+// An entry overwritten by another writer names no target to use, but flows
+// that are open at the target go on.
+BOOST_AUTO_TEST_CASE(unreadable_entries_get_no_openings_and_keep_their_token) {
+  follower_fixture f;
+  f.load();
+  directory_change broken;
+  broken.name = "i-1";
+  broken.revision = 20;
+  broken.problem = "no field state";
+  directory_change unknown = broken;
+  unknown.name = "garbage";
+  f.reply(directory_kind::targets, 20, {broken, unknown});
+  BOOST_TEST(f.openings() == 0u);
+  BOOST_TEST(f.table->target_of(token_of("i-1")) != nullptr);
+  BOOST_TEST(f.table->target_of(token_of("garbage")) == nullptr);
+  f.reply(directory_kind::targets, 21, {entry("i-1", 21, make_target("i-1"))});
+  BOOST_TEST(f.openings() == 1u);
+}
+
+struct duty_row {
+  const char* name;
+  size_t peers;
+  bool watching;
+  time_us silence;
+  size_t watchers_least;
+  size_t watchers_most;
+};
+
+// In a zone of many balancers the calls to the registry must not grow with
+// the fleet, and a change must not depend on one of them.
+BOOST_AUTO_TEST_CASE(few_balancers_of_a_large_zone_watch) {
+  const duty_row rows[] = {
+      {"small zone", 3, true, 0, 4, 4},
+      {"large zone", 19, true, 0, 2, 2},
+      {"large zone, watchers silent", 19, true, 4 * us_per_s, 20, 20},
+      {"large zone, nobody in contact", 19, false, 4 * us_per_s, 20, 20},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      const time_us start = 1000 * us_per_s;
+      size_t watching = 0;
+      for (size_t self = 0; self <= row.peers; ++self) {
+        peer_options options;
+        options.name = "front-" + std::to_string(self);
+        options.zone = "north";
+        options.address = {static_cast<uint32_t>(self + 1), 1};
+        peer_table peers(options);
+        for (size_t other = 0; other <= row.peers; ++other) {
+          peer_hello hello;
+          hello.name = "front-" + std::to_string(other);
+          hello.zone = "north";
+          hello.address = {static_cast<uint32_t>(other + 1), 1};
+          hello.incarnation = 1;
+          hello.sequence = 1;
+          hello.watching = row.watching ? 1 : 0;
+          peers.on_hello(start, hello);
+        }
+        watch_duty duty({}, options.name, options.zone);
+        duty.decide(start, directory_kind::targets, peers);
+        const auto reason =
+            duty.decide(start + row.silence, directory_kind::targets, peers);
+        watching += reason == duty_reason::served ? 0 : 1;
+      }
+      BOOST_TEST(watching >= row.watchers_least);
+      BOOST_TEST(watching <= row.watchers_most);
+    }
+  }
+}
+
+// Only what changed is sent, removals too.
+BOOST_AUTO_TEST_CASE(changes_reach_balancers_that_do_not_watch) {
+  follower_fixture watcher;
+  watcher.load();
+  for (uint32_t i = 1; i <= 8; ++i) {
+    peer_hello hello;
+    hello.name = "front-1" + std::to_string(i);
+    hello.zone = "north";
+    hello.address = {peer_address.ip + i, peer_address.port};
+    hello.incarnation = 7;
+    hello.sequence = 1;
+    hello.marks = {watcher.core.belief(directory_kind::targets).mark(),
+                   watcher.core.belief(directory_kind::routing).mark(),
+                   watcher.core.belief(directory_kind::withdrawals).mark()};
+    watcher.take(watcher.core.on_peer(watcher.now, hello));
+  }
+  watcher.messages.clear();
+  watcher.reply(directory_kind::targets, 20,
+                {removal("i-1", 18), entry("i-2", 19, make_target("i-2"))});
+  BOOST_REQUIRE(watcher.messages.size() == 8u);
+  const auto& sent = std::get<peer_directory>(watcher.messages[0].body);
+  BOOST_TEST(sent.from_revision == 10u);
+  BOOST_TEST(sent.names == std::vector<std::string>{"i-2"});
+  BOOST_TEST(sent.removed_names == std::vector<std::string>{"i-1"});
+}
+
+// Found on the users' bench, kitakiroku-grown scale-1: the history was dropped,
+// the watching balancers listed anew, and the others learnt 5 s later.
+BOOST_AUTO_TEST_CASE(changes_found_by_a_list_are_passed_on_too) {
+  follower_fixture watcher;
+  watcher.load();
+  for (uint32_t i = 1; i <= 8; ++i) {
+    peer_hello hello;
+    hello.name = "front-1" + std::to_string(i);
+    hello.zone = "north";
+    hello.address = {peer_address.ip + i, peer_address.port};
+    hello.incarnation = 7;
+    hello.sequence = 1;
+    hello.marks = {watcher.core.belief(directory_kind::targets).mark(),
+                   watcher.core.belief(directory_kind::routing).mark(),
+                   watcher.core.belief(directory_kind::withdrawals).mark()};
+    watcher.take(watcher.core.on_peer(watcher.now, hello));
+  }
+  watcher.reply(directory_kind::routing, 0, {}, registry_status::history_gone);
+  watcher.advance(10 * us_per_ms);
+  BOOST_REQUIRE(
+      (watcher.call(directory_kind::routing).op == registry_op::list));
+  watcher.messages.clear();
+  watcher.reply(directory_kind::routing, 20,
+                {entry("main", 20, make_routing(2))});
+  BOOST_TEST(watcher.messages.size() == 8u);
+}
+
+// A balancer that sees that a peer knows more asks for it.
+BOOST_AUTO_TEST_CASE(balancer_that_is_behind_asks_the_peer_that_is_ahead) {
+  follower_fixture f;
+  f.load();
+  peer_hello ahead;
+  ahead.name = "front-2";
+  ahead.zone = "north";
+  ahead.address = peer_address;
+  ahead.incarnation = 7;
+  ahead.sequence = 1;
+  ahead.marks = {directory_mark{50, 1}, directory_mark{10, 0},
+                 directory_mark{10, 0}};
+  ahead.marks[1] = f.core.belief(directory_kind::routing).mark();
+  ahead.marks[2] = f.core.belief(directory_kind::withdrawals).mark();
+  f.take(f.core.on_peer(f.now, ahead));
+  f.messages.clear();
+  f.now += directory_options().push_patience;
+  ahead.sequence = 2;
+  f.take(f.core.on_peer(f.now, ahead));
+  BOOST_REQUIRE(f.messages.size() == 1u);
+  const auto& hello = std::get<peer_hello>(f.messages[0].body);
+  BOOST_TEST(hello.wants == 1u);
+  BOOST_TEST((f.messages[0].to == peer_address));
+
+  follower_fixture other(options_of("front-2", peer_address));
+  other.load();
+  other.reply(directory_kind::targets, 50,
+              {entry("i-9", 50, make_target("i-9"))});
+  other.messages.clear();
+  other.take(other.core.on_peer(other.now, hello));
+  BOOST_TEST(std::any_of(
+      other.messages.begin(), other.messages.end(), [](const auto& m) {
+        return std::holds_alternative<peer_directory>(m.body);
+      }));
+}
+
+// Found by the hunt on kitakiroku-grown (hunt-0c5c-7): a configuration with
+// 1,352 routes more did not fit a datagram; those that do not watch kept the
+// old one. They read it from the registry themselves.
+BOOST_AUTO_TEST_CASE(large_changes_are_read_from_the_registry) {
+  follower_fixture watcher;
+  watcher.load();
+  peer_hello ahead;
+  for (uint32_t i = 1; i <= 8; ++i) {
+    ahead.name = "front-1" + std::to_string(i);
+    ahead.zone = "north";
+    ahead.address = {peer_address.ip + i, peer_address.port};
+    ahead.incarnation = 7;
+    ahead.sequence = 1;
+    ahead.watching = 7;
+    ahead.marks = {watcher.core.belief(directory_kind::targets).mark(),
+                   watcher.core.belief(directory_kind::routing).mark(),
+                   watcher.core.belief(directory_kind::withdrawals).mark()};
+    watcher.take(watcher.core.on_peer(watcher.now, ahead));
+  }
+  watcher.messages.clear();
+  routing_entry large = make_routing(2);
+  large.routes.resize(1400, large.routes[0]);
+  watcher.reply(directory_kind::routing, 20, {entry("main", 20, large)});
+  BOOST_TEST(watcher.messages.empty());
+
+  // The other side: those that do not watch see their peers ahead.
+  int relying = 0;
+  for (int number = 0; number < 8; ++number) {
+    follower_fixture f(
+        options_of("front-x" + std::to_string(number), own_address));
+    f.load();
+    ahead.marks[1] = f.core.belief(directory_kind::routing).mark();
+    ahead.sequence = 1;
+    for (uint32_t i = 1; i <= 8; ++i) {
+      ahead.name = "front-1" + std::to_string(i);
+      ahead.address = {peer_address.ip + i, peer_address.port};
+      f.take(f.core.on_peer(f.now, ahead));
+    }
+    const uint64_t watch = f.call(directory_kind::routing).id;
+    f.reply(directory_kind::routing, 11, {});
+    if (f.call(directory_kind::routing).id != watch)
+      continue;  // One of the two that watch this kind.
+    ++relying;
+    ahead.marks[1] = directory_mark{20, 99};
+    for (ahead.sequence = 2; ahead.sequence < 4; ++ahead.sequence) {
+      f.now += directory_options().push_patience;
+      f.take(f.core.on_peer(f.now, ahead));
+    }
+    BOOST_TEST((f.call(directory_kind::routing).op == registry_op::list));
+  }
+  BOOST_TEST(relying >= 4);
+}
+
+BOOST_AUTO_TEST_CASE(changes_that_come_together_cost_one_call) {
+  follower_fixture f;
+  f.load();
+  f.reply(directory_kind::targets, 20, {entry("i-2", 20, make_target("i-2"))});
+  const uint64_t answered = f.call(directory_kind::targets).id;
+  f.advance(directory_options().watch_pause / 2);
+  BOOST_TEST(f.call(directory_kind::targets).id == answered);
+  f.advance(directory_options().watch_pause / 2);
+  BOOST_TEST(f.call(directory_kind::targets).id != answered);
+  BOOST_TEST(f.call(directory_kind::targets).revision == 20u);
+}
+
+// Found by bench placement with 80 balancers: all of a zone's balancers went
+// through the others in the same order, so that each heard of the zone in one
+// burst and then nothing for 13 s, and took it for silent.
+BOOST_AUTO_TEST_CASE(rounds_of_a_zone_reach_a_peer_evenly) {
+  constexpr uint32_t per_zone = 27;
+  std::vector<peer_table> zone;
+  for (uint32_t i = 0; i < per_zone; ++i) {
+    peer_options options;
+    options.name = "front-" + std::to_string(i);
+    options.zone = "north";
+    options.address = {i + 1, 1};
+    zone.emplace_back(options);
+    for (uint32_t other = 0; other < 2 * per_zone; ++other) {
+      peer_hello hello;
+      hello.name = "far-" + std::to_string(other);
+      hello.zone = "south";
+      hello.address = {1000 + other, 1};
+      hello.incarnation = hello.sequence = 1;
+      zone.back().on_hello(us_per_s, hello);
+    }
+  }
+  const endpoint receiver{1007, 1};
+  int quiet = 0;
+  int longest_quiet = 0;
+  for (int round = 0; round < 60; ++round) {
+    size_t heard = 0;
+    for (auto& peers : zone) {
+      const auto to = peers.next_round(us_per_s, false);
+      heard += static_cast<size_t>(std::count(to.begin(), to.end(), receiver));
+    }
+    quiet = heard == 0 ? quiet + 1 : 0;
+    longest_quiet = std::max(longest_quiet, quiet);
+  }
+  // Rounds of half a second; a zone counts as silent after 2.2 s.
+  BOOST_TEST(longest_quiet <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(replayed_heartbeats_are_ignored) {
+  peer_options options;
+  options.name = "front-1";
+  options.address = own_address;
+  peer_table peers(options);
+  peer_hello hello;
+  hello.name = "front-2";
+  hello.address = peer_address;
+  hello.incarnation = 5;
+  hello.sequence = 7;
+  BOOST_TEST((peers.on_hello(us_per_s, hello) == hello_news::started));
+  BOOST_TEST((peers.on_hello(us_per_s, hello) == hello_news::stale));
+  hello.sequence = 8;
+  BOOST_TEST((peers.on_hello(us_per_s, hello) == hello_news::known));
+  hello.incarnation = 4;
+  hello.sequence = 9;
+  BOOST_TEST((peers.on_hello(us_per_s, hello) == hello_news::stale));
+  hello.incarnation = 6;
+  hello.sequence = 1;
+  BOOST_TEST((peers.on_hello(us_per_s, hello) == hello_news::started));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace turmeric
