--- a/tests/emulator/emu_rules.cpp
+++ b/tests/emulator/emu_rules.cpp
@@ -23,6 +23,16 @@
     report_.violations.push_back({rule, clock_.now(), what});
 }
 
+void emu_world::follow(const target& t, const std::string& what) {
+  if (t.name != options_.follow)
+    return;
+  const time_us now = clock_.now();
+  const time_us cold = t.cold_until - now;
+  report_.followed.push_back(
+      std::to_string(now - start_) + " us " + what +
+      (cold > 0 ? ", cold for " + std::to_string(cold) + " us" : ""));
+}
+
 bool emu_world::in_touch(const balancer& b) const {
   const time_us now = clock_.now();
   const bool connected = !b.cut && !b.refused && !disturbed_now(b.zone);
@@ -41,6 +51,8 @@
                               uint64_t flow_number,
                               const segment& s) {
   const time_us now = clock_.now();
+  if (t->name == options_.follow && t->flows.count(flow_number) == 0)
+    follow(*t, "opening from " + from.name);
   const auto route = std::find_if(
       routing_.routes.begin(), routing_.routes.end(),
       [&](const route_entry& r) { return r.address == s.destination; });
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -314,6 +314,7 @@
     });
     return;
   }
+  follow(*t, "ends: " + std::string(name_of(event.trouble)));
   t->alive = false;
   t->resets = event.trouble == emu_trouble::target_reset;
   t->disturbed = clock_.now();
@@ -326,6 +327,7 @@
       t->disturbed = clock_.now();
       t->cold_until = clock_.now() + cold_time;
       t->openings.clear();
+      follow(*t, "starts again");
       beat(name);
     });
     return;
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -129,6 +129,7 @@
   time_us length = 20 * us_per_s;
   std::vector<emu_event> events;
   emu_plant plant = emu_plant::none;
+  std::string follow;  ///< Target whose openings are reported; or empty.
   /** Sees every message between balancers. */
   std::function<void(const peer_message&)> observe;
   /** Makes the placement hook of a balancer; null for the product's choice. */
@@ -162,6 +163,8 @@
   /** Most loaded target over the mean of the first service, by openings in a
    * second; mean over all seconds. */
   double imbalance = 0;
+  /** What happened to the target that is followed. */
+  std::vector<std::string> followed;
   /** Requests asked and served in time, by the second they were asked in. */
   std::vector<std::pair<uint64_t, uint64_t>> seconds;
 };
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -166,6 +166,7 @@
   void close(target* t);
 
   // emu_rules.cpp
+  void follow(const target& t, const std::string& what);
   void violate(emu_rule rule, const std::string& what);
   bool in_touch(const balancer& b) const;
   bool undisturbed(const target& t) const;
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -17,7 +17,7 @@
 
 constexpr const char* usage_text =
     "Usage: emulate [--seed N] [--runs N] [--troubles N] [--trouble NAME]\n"
-    "               [--plant NAME] [--list] [--report]\n"
+    "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
     "\n"
     "Plays runs in virtual time, from seed N on, and prints broken promises.\n"
     "The exit code is 1 if there was one.\n"
@@ -27,6 +27,7 @@
     "  -t, --troubles N    troubles of a run at most (6)\n"
     "  -o, --trouble NAME  only this one, once\n"
     "  -p, --plant NAME    make a fault that must be found\n"
+    "  -f, --follow TARGET print what happens to this target\n"
     "  -l, --list          print the names of troubles and plants\n"
     "  -r, --report        print what callers got\n";
 
@@ -37,6 +38,7 @@
   emu_trouble trouble = emu_trouble::end;
   emu_plant plant = emu_plant::none;
   bool report = false;
+  std::string follow;
 };
 
 template <typename E>
@@ -109,12 +111,15 @@
   const auto work = [&] {
     for (uint64_t i = next++; i < line.runs; i = next++) {
       const uint64_t seed = line.seed + i;
-      const emu_options options = options_of(line, seed);
+      emu_options options = options_of(line, seed);
+      options.follow = line.follow;
       emu_world world(options);
       const emu_report report = world.run();
       const std::lock_guard<std::mutex> lock(output);
       if (line.report)
         print_report(seed, options, report);
+      for (const auto& text : report.followed)
+        fmt::print("seed {}: {}\n", seed, text);
       broken += breaks(line, report) ? 1 : 0;
       for (const auto& v : report.violations) {
         fmt::print("seed {}: {} at {:.3f} s: {}\n", seed, name_of(v.rule),
@@ -141,12 +146,13 @@
                             {"troubles", required_argument, nullptr, 't'},
                             {"trouble", required_argument, nullptr, 'o'},
                             {"plant", required_argument, nullptr, 'p'},
+                            {"follow", required_argument, nullptr, 'f'},
                             {"list", no_argument, nullptr, 'l'},
                             {"report", no_argument, nullptr, 'r'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:lrh", options,
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:f:lrh", options,
                                    nullptr)) != -1;) {
     switch (c) {
       case 's':
@@ -164,6 +170,9 @@
       case 'p':
         line.plant = named<emu_plant>(optarg);
         break;
+      case 'f':
+        line.follow = optarg;
+        break;
       case 'l':
         print_names<emu_trouble>("troubles");
         print_names<emu_plant>("plants");
