--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -62,6 +62,14 @@
   size_t max_push_bytes = 16 * 1024;
   /** A peer's older state is left to the registry for this long. */
   time_us push_patience = 300 * us_per_ms;
+  /** Pause between messages about targets: a tenth of the time for which one
+   * of them is avoided at first, and bounds them to 40 a second. */
+  time_us report_pause = 25 * us_per_ms;
+  /** Peers that are told at most, those of the own zone first: 64 messages of
+   * about 150 bytes. */
+  size_t report_fanout = 64;
+  /** Observations in a message at most; it fits a datagram. */
+  size_t max_reports = 32;
 };
 
 /** Sends a message to a peer. */
@@ -84,9 +92,17 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
+/** Hands what peers saw of targets to the traffic thread. */
+struct reported_targets {
+  std::vector<target_report> reports;
+};
+
 /** What the adapters must do for the directory core. */
-using directory_action = std::
-    variant<registry_call, send_peer_message, publish_table, directory_note>;
+using directory_action = std::variant<registry_call,
+                                      send_peer_message,
+                                      publish_table,
+                                      directory_note,
+                                      reported_targets>;
 
 /** Follows the registry; see the file's comment. */
 class directory_core {
@@ -104,6 +120,9 @@
   /** A message came from a peer; its signature has been checked. */
   actions on_peer(time_us now, const peer_message& message);
 
+  /** The traffic thread saw something of targets; tells the peers. */
+  actions on_reports(time_us now, const std::vector<target_report>& reports);
+
   /** Runs the timers. */
   actions tick(time_us now);
 
@@ -177,6 +196,9 @@
   void add_withdrawn(table_input* input) const;
   void on(time_us now, const peer_hello& hello, actions* out);
   void on(time_us now, const peer_directory& directory, actions* out);
+  void on(time_us now, const peer_reports& message, actions* out);
+  void send_reports(time_us now, actions* out);
+  void tell_started(time_us now, const known_peer& peer, actions* out);
   void push_to(time_us now, known_peer* peer, actions* out);
   void push_kind(time_us now,
                  directory_kind kind,
@@ -206,6 +228,10 @@
   uint64_t sequence_ = 0;
   time_us next_round_ = 0;
   time_us next_forget_ = 0;
+  std::vector<target_report> pending_reports_;  ///< Not yet sent.
+  time_us reports_sent_ = 0;
+  /** Last observation of each target, and until when it matters. */
+  std::map<flow_token, std::pair<target_report, time_us>> told_;
   bool leaving_ = false;
   bool published_ = false;  ///< Whether there has been a table.
   std::vector<uint64_t> published_balancers_;
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -75,13 +75,14 @@
 
 /** What happened to a flow, or what the traffic thread came to believe. */
 enum class forwarding_event_kind : uint8_t {
-  placed,          ///< An opening went to a target.
-  refused,         ///< An opening was reset.
-  dropped,         ///< A segment was dropped.
-  answered,        ///< The caller has an answer from the target.
-  ended,           ///< The caller closed the flow.
-  target_doubted,  ///< A target left an opening unanswered.
-  target_answers,  ///< A target answered after it had been doubted.
+  placed,           ///< An opening went to a target.
+  refused,          ///< An opening was reset.
+  dropped,          ///< A segment was dropped.
+  answered,         ///< The caller has an answer from the target.
+  ended,            ///< The caller closed the flow.
+  target_doubted,   ///< A target left an opening unanswered.
+  target_answers,   ///< A target answered after it had been doubted.
+  target_reported,  ///< Another balancer told what it saw of a target.
   end
 };
 
@@ -97,6 +98,7 @@
   std::string target;     ///< Empty if there is none.
   std::string zone;       ///< Of the target.
   uint32_t failures = 0;  ///< Openings it left unanswered in a row.
+  uint32_t reported = 0;  ///< Those that other balancers told of.
   uint32_t in_hand = 0;   ///< Flows in hand at it, as seen here.
   size_t candidates = 0;  ///< Targets that were open to the flow.
   double cost = 0.0;      ///< Of the chosen one.
@@ -109,6 +111,7 @@
   std::array<uint64_t, static_cast<size_t>(forwarding_reason::end)> reasons{};
   uint64_t unanswered = 0;   ///< Openings left unanswered.
   uint64_t doubts = 0;       ///< Times a target came to be doubted.
+  uint64_t reports = 0;      ///< Observations of targets told by others.
   uint64_t other_zone = 0;   ///< Openings placed in other zones.
   uint64_t events_lost = 0;  ///< Events beyond those kept for the log.
   uint64_t malformed = 0;    ///< Packets that could not be read.
@@ -151,6 +154,14 @@
     placement_.set_silent_zones(std::move(zones));
   }
 
+  /** Other balancers told what they saw of targets. */
+  void reported(time_us now, const std::vector<target_report>& reports);
+
+  /** @return What is worth telling other balancers since the last call. */
+  std::vector<target_report> take_reports() {
+    return placement_.take_reports();
+  }
+
   /** Decides on a caller's segment. The decision's target lives as long as
    * the snapshot. */
   forwarding_decision on_segment(time_us now, const segment& s);
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -52,6 +52,7 @@
   std::array<time_us, directory_kinds> behind_since{};  ///< 0 if it is not.
   std::array<time_us, directory_kinds> ahead_since{};   ///< 0 if it is not.
   std::array<time_us, directory_kinds> pushed{};
+  uint64_t reports_sequence = 0;  ///< Of its last message about targets.
 };
 
 /** What a heartbeat brought. */
@@ -81,6 +82,9 @@
   /** @return Other zones with known peers of which none is heard. */
   std::set<std::string> silent_zones(time_us now) const;
 
+  /** @return Addresses of live peers, those of the own zone first. */
+  std::vector<endpoint> nearest(time_us now, size_t most) const;
+
   /** @return Addresses of all known peers. */
   std::vector<endpoint> all() const;
 
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -18,9 +18,11 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "turmeric/coordination/forwarding_table_base.h"
+#include "turmeric/state/target_report_type.h"
 
 namespace turmeric {
 
@@ -59,6 +61,14 @@
   size_t silent_targets = 2;
   /** Time between single flows that probe such a zone. */
   time_us zone_probe_time = us_per_s;
+  /** Cost of a target that others saw silent, until that is confirmed: as much
+   * as a full target's, since one lost packet looks the same. */
+  double reported_cost = 1.0;
+  /** Unanswered openings, seen here and by others, that confirm a silence. */
+  uint32_t confirmed_failures = 2;
+  /** Time by which others leave the next try to the one that reported; its
+   * answer, or the lack of one, is known and told by then. */
+  time_us report_grace = 200 * us_per_ms;
   /** Cost of a target that answers again after a silence. It may have started
    * anew and be cold without its entry saying so yet. */
   double recovering_cost = 10.0;
@@ -108,6 +118,19 @@
    * @param opened When it was sent. */
   void unanswered(time_us now, const forwarding_target& target, time_us opened);
 
+  /** Another balancer told what it saw of the target. */
+  void reported(time_us now,
+                const forwarding_target& target,
+                const target_report& report);
+
+  /** @return What is worth telling other balancers since the last call. */
+  std::vector<target_report> take_reports() {
+    return std::exchange(reports_, {});
+  }
+
+  /** @return Unanswered openings at the target that others told of. */
+  uint32_t reported_failures(flow_token token) const;
+
   /** @return Flows in hand at the target, as seen here. */
   uint32_t in_hand(flow_token token) const;
 
@@ -134,6 +157,9 @@
     uint32_t in_hand = 0;
     uint32_t failures = 0;  ///< Unanswered openings since the last answer.
     time_us doubted_until = 0;
+    time_us answered = 0;   ///< Its last answer to any flow here.
+    uint32_t reported = 0;  ///< Unanswered openings of others since.
+    time_us reported_until = 0;
     bool probing = false;  ///< A first flow after a doubt is on its way.
     time_us recovering_until = 0;
     time_us cold_next = 0;  ///< Earliest time of the next flow while cold.
@@ -164,6 +190,13 @@
               const std::vector<uint64_t>& others) const;
   bool zone_doubted(time_us now, const std::string& zone) const;
   double cost_of(time_us now, const forwarding_target& target) const;
+  double evidence_cost(time_us now, const evidence& e) const;
+  bool confirmed(const evidence& e) const;
+  void tell(const forwarding_target& target,
+            target_news news,
+            time_us age,
+            time_us left,
+            uint32_t failures);
   bool cold_allowed(time_us now, const forwarding_target& target);
   bool owns_cold(flow_token token) const;
   time_us cold_interval(const forwarding_target& target) const;
@@ -185,6 +218,7 @@
   std::map<std::string, zone_evidence> zones_;
   std::set<std::string> silent_zones_;
   std::map<std::string, zone_load> loads_;  ///< By service.
+  std::vector<target_report> reports_;      ///< Not yet told.
   std::vector<uint64_t> zone_others_;
   double zone_cost_ = 0.0;  ///< Of another zone, for the flow being placed.
 };
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -358,6 +358,8 @@
   }
   if (now >= next_round_)
     send_round(now, &out);
+  if (now - reports_sent_ >= options_.report_pause)
+    send_reports(now, &out);
   if (now >= next_forget_) {
     next_forget_ = now + forget_interval;
     for (auto& f : followers_)
@@ -368,6 +370,8 @@
 
 time_us directory_core::next_tick() const {
   time_us next = std::min(next_round_, next_forget_);
+  if (!pending_reports_.empty())
+    next = std::min(next, reports_sent_ + options_.report_pause);
   for (const auto& f : followers_) {
     if (f.call == 0)
       next = std::min(next, f.next_call);
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -115,6 +115,8 @@
     on(now, *hello, &out);
   else if (const auto* directory = std::get_if<peer_directory>(&message))
     on(now, *directory, &out);
+  else if (const auto* reports = std::get_if<peer_reports>(&message))
+    on(now, *reports, &out);
   return out;
 }
 
@@ -130,6 +132,8 @@
     out->push_back(send_peer_message{hello.address, make_hello(now)});
   }
   known_peer* peer = peers_.find(hello.address);
+  if (news == hello_news::started)
+    tell_started(now, *peer, out);
   // This zone was cut off, and what it knows is old. Open connections may
   // take seconds to notice that the way is free again.
   if (published_silent_.count(hello.zone) != 0 && all_zones_silent()) {
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -15,10 +15,10 @@
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_event_kind::end)>
-    event_names = {"flow placed",         "flow refused",
-                   "segment dropped",     "flow answered",
-                   "flow ended",          "target left an opening unanswered",
-                   "target answers again"};
+    event_names = {"flow placed",          "flow refused",
+                   "segment dropped",      "flow answered",
+                   "flow ended",           "target left an opening unanswered",
+                   "target answers again", "target reported by a peer"};
 /** Events kept for the log at most; the counters count all. */
 constexpr size_t max_events = 64;
 
@@ -66,6 +66,19 @@
   placement_.set_balancers(self, std::move(others));
 }
 
+void forwarding_core::reported(time_us now,
+                               const std::vector<target_report>& reports) {
+  for (const auto& report : reports) {
+    const forwarding_target* target =
+        table_ == nullptr ? nullptr : table_->target_of(report.token);
+    if (target == nullptr || report.news >= target_news::end)
+      continue;
+    ++counters_.reports;
+    placement_.reported(now, *target, report);
+    add_event(now, forwarding_event_kind::target_reported, {}, report.token);
+  }
+}
+
 forwarding_decision forwarding_core::on_segment(time_us now, const segment& s) {
   forwarding_decision decision = decide(now, s);
   ++counters_.reasons[static_cast<size_t>(decision.reason)];
@@ -204,7 +217,9 @@
 void forwarding_core::note_answer(time_us now,
                                   const flow_key& key,
                                   const forwarding_target& target) {
-  if (placement_.failures(target.token) != 0)
+  if (placement_.failures(target.token) +
+          placement_.reported_failures(target.token) !=
+      0)
     add_event(now, forwarding_event_kind::target_answers, key, target.token);
   placement_.answered(now, target);
 }
@@ -262,6 +277,7 @@
     event.target = target->entry.name;
     event.zone = target->entry.zone;
     event.failures = placement_.failures(token);
+    event.reported = placement_.reported_failures(token);
     event.in_hand = placement_.in_hand(token);
   }
   events_.push_back(std::move(event));
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -40,6 +40,7 @@
     peer.behind_since = {};
     peer.ahead_since = {};
     peer.pushed = {};
+    peer.reports_sequence = 0;
   }
   peer.hello = hello;
   peer.heard = now;
@@ -165,6 +166,18 @@
   return out;
 }
 
+std::vector<endpoint> peer_table::nearest(time_us now, size_t most) const {
+  std::vector<endpoint> out;
+  for (const bool own : {true, false}) {
+    for (const auto& [address, peer] : peers_) {
+      if (out.size() < most && alive(now, peer) &&
+          own == (peer.hello.zone == options_.zone))
+        out.push_back(address);
+    }
+  }
+  return out;
+}
+
 std::vector<endpoint> peer_table::all() const {
   std::vector<endpoint> out;
   for (const auto& [address, peer] : peers_)
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -16,6 +16,9 @@
 /** Part of a cold target's bound that an owner uses: two views of who the
  * owners are together make four, and one flow may arrive a little late. */
 constexpr double cold_divisor = 5.0;
+/** Observations kept until they are told; more come only when much fails at
+ * once, and then each balancer sees it by itself. */
+constexpr size_t max_reports = 64;
 
 }  // namespace
 
@@ -38,13 +41,34 @@
     return cost;
   const evidence& e = it->second;
   cost += static_cast<double>(e.in_hand) / target.entry.slots;
+  return cost + evidence_cost(now, e);
+}
+
+double placement::evidence_cost(time_us now, const evidence& e) const {
+  double cost = 0.0;
   if (now < e.doubted_until || e.probing)
     cost += options_.doubt_cost * std::min(e.failures, max_doublings);
+  // What others saw counts as own once it is more than one lost packet.
+  if (now < e.reported_until || (e.probing && e.reported != 0))
+    cost += confirmed(e) ? options_.doubt_cost : options_.reported_cost;
   if (now < e.recovering_until)
     cost += options_.recovering_cost;
   return cost;
 }
 
+bool placement::confirmed(const evidence& e) const {
+  return e.failures + e.reported >= options_.confirmed_failures;
+}
+
+void placement::tell(const forwarding_target& target,
+                     target_news news,
+                     time_us age,
+                     time_us left,
+                     uint32_t failures) {
+  if (reports_.size() < max_reports)
+    reports_.push_back({target.token, news, age, left, failures});
+}
+
 const forwarding_target* placement::cheapest(
     time_us now,
     const std::vector<const forwarding_target*>& candidates,
@@ -202,7 +226,8 @@
   evidence& e = evidence_[target.token];
   ++e.in_hand;
   add_load(now, target, 1);
-  if (e.failures != 0 && now >= e.doubted_until)
+  if (e.failures + e.reported != 0 &&
+      now >= std::max(e.doubted_until, e.reported_until))
     e.probing = true;
   zone_evidence& zone = zones_[target.entry.zone];
   if (zone.silent.size() >= options_.silent_targets &&
@@ -237,10 +262,16 @@
   zone.silent.clear();
   zone.probing = false;
   evidence& e = evidence_[target.token];
-  if (e.failures >= options_.gone_failures)
+  const bool gone = confirmed(e);
+  if (e.failures >= options_.gone_failures || gone)
     e.recovering_until = now + options_.recovering_time;
-  e.failures = 0;
-  e.doubted_until = 0;
+  // Only where it is sure that it was gone do others spare it too.
+  if (e.failures + e.reported != 0)
+    tell(target, target_news::answers, 0, gone ? options_.recovering_time : 0,
+         0);
+  e.answered = now;
+  e.failures = e.reported = 0;
+  e.doubted_until = e.reported_until = 0;
   e.probing = false;
 }
 
@@ -257,8 +288,38 @@
   ++e.failures;
   e.probing = false;
   const uint32_t doublings = std::min(e.failures - 1, max_doublings);
-  e.doubted_until =
-      now + std::min(options_.doubt_time << doublings, options_.max_doubt_time);
+  const time_us doubt =
+      std::min(options_.doubt_time << doublings, options_.max_doubt_time);
+  e.doubted_until = now + doubt;
+  // Where the way is to blame, others have their own.
+  if (!zone_doubted(now, target.entry.zone))
+    tell(target, target_news::silent, now - opened, doubt, 1);
+}
+
+void placement::reported(time_us now,
+                         const forwarding_target& target,
+                         const target_report& report) {
+  evidence& e = evidence_[target.token];
+  const time_us left =
+      std::clamp<time_us>(report.left, 0, options_.max_doubt_time);
+  if (report.news == target_news::answers) {
+    e.failures = e.reported = 0;
+    e.doubted_until = e.reported_until = 0;
+    e.probing = false;
+    if (left != 0)
+      e.recovering_until = now + left;
+    return;
+  }
+  if (e.answered >= now - std::max<time_us>(report.age, 0))
+    return;  // It has answered here since.
+  e.reported += std::min(report.failures, max_doublings);
+  e.reported_until =
+      std::max(e.reported_until, now + left + options_.report_grace);
+}
+
+uint32_t placement::reported_failures(flow_token token) const {
+  const auto it = evidence_.find(token);
+  return it == evidence_.end() ? 0 : it->second.reported;
 }
 
 uint32_t placement::in_hand(flow_token token) const {
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "turmeric/state/directory_type.h"
+#include "turmeric/state/target_report_type.h"
 
 namespace turmeric {
 
@@ -56,6 +57,14 @@
   std::vector<routing_entry> routings;
 };
 
+/** What a balancer saw of targets since its last such message. */
+struct peer_reports {
+  endpoint address;          ///< Of the sender, as in its heartbeats.
+  uint64_t incarnation = 0;  ///< Of the sender.
+  uint64_t sequence = 0;     ///< Grows from one to the next.
+  std::vector<target_report> reports;
+};
+
 /** A part of an encoded message that does not fit a datagram. */
 struct peer_fragment {
   uint64_t message = 0;  ///< Counts its sender's fragmented messages.
@@ -65,7 +74,8 @@
 };
 
 /** Everything that travels between such balancers. */
-using peer_message = std::variant<peer_hello, peer_directory, peer_fragment>;
+using peer_message =
+    std::variant<peer_hello, peer_directory, peer_fragment, peer_reports>;
 
 }  // namespace turmeric
 
--- a/packages/state/include/turmeric/state/table/metrics.h
+++ b/packages/state/include/turmeric/state/table/metrics.h
@@ -26,6 +26,12 @@
                 "targets",
                 "",
                 "Times that a target came to be doubted.")
+TURMERIC_METRIC(reports,
+                "turmeric_target_reports_total",
+                "counter",
+                "reports",
+                "",
+                "Observations of targets told by other balancers.")
 TURMERIC_METRIC(malformed,
                 "turmeric_malformed_packets_total",
                 "counter",
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -31,6 +31,7 @@
   time_us cold_left = 0;
   uint32_t in_hand = 0;
   uint32_t failures = 0;
+  uint32_t reported = 0;  ///< Failures that other balancers told of.
 };
 
 /** A flow as the traffic thread remembers it. */
@@ -81,6 +82,16 @@
    * @pre Not started. */
   void on_pause(std::function<void()> hook) { on_pause_ = std::move(hook); }
 
+  /** Sets what to call, on the traffic thread, with what other balancers should
+   * know of targets.
+   * @pre Not started. */
+  void on_reports(std::function<void(std::vector<target_report>)> hook) {
+    on_reports_ = std::move(hook);
+  }
+
+  /** Takes what other balancers told; used from the next batch on. */
+  void reported(const std::vector<target_report>& reports);
+
   /** Replaces the snapshot; taken with the next batch. */
   void publish(update next);
 
@@ -115,10 +126,12 @@
   std::vector<log_limiter> lines_;  ///< By kind of event.
   std::mutex update_mutex_;
   std::optional<update> update_;
-  bool published_ = false;  ///< Whether there has been a snapshot.
+  std::vector<target_report> reported_;  ///< Not yet taken.
+  bool published_ = false;               ///< Whether there has been a snapshot.
   /** Snapshot in use; actions of a batch point into it. */
   std::shared_ptr<const forwarding_table> table_;
   std::function<void()> on_pause_;
+  std::function<void(std::vector<target_report>)> on_reports_;
   std::atomic<time_us> last_segment_{0};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
--- a/packages/transport/src/forwarding/directory_actor.cpp
+++ b/packages/transport/src/forwarding/directory_actor.cpp
@@ -14,11 +14,17 @@
   std::vector<endpoint> seeds;
 };
 
+/** What the traffic thread saw, on its way to the actor. */
+struct report_update {
+  std::vector<target_report> reports;
+};
+
 }  // namespace turmeric
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(turmeric::registry_reply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(turmeric::peer_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(turmeric::seed_update)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(turmeric::report_update)
 
 namespace turmeric {
 namespace {
@@ -72,6 +78,9 @@
         [this](const seed_update& update) {
           core.set_seeds(boot_now(), update.seeds);
         },
+        [this, self](const report_update& update) {
+          carry_out(self, core.on_reports(boot_now(), update.reports));
+        },
         [this, self](pause_atom) { carry_out(self, core.paused(boot_now())); },
         [this, self](leave_atom) { carry_out(self, core.leave(boot_now())); },
         [self](stop_atom) { self->quit(); },
@@ -118,6 +127,10 @@
   caf::anon_send(impl_->actor, seed_update{std::move(seeds)});
 }
 
+void directory_actor::deliver(std::vector<target_report> reports) {
+  caf::anon_send(impl_->actor, report_update{std::move(reports)});
+}
+
 void directory_actor::paused() {
   caf::anon_send(impl_->actor, pause_atom::value);
 }
--- a/packages/transport/src/forwarding/directory_actor_internal.h
+++ b/packages/transport/src/forwarding/directory_actor_internal.h
@@ -31,6 +31,9 @@
   /** Hands over the contacts of changed settings. */
   void set_seeds(std::vector<endpoint> seeds);
 
+  /** Hands over what the traffic thread saw of targets. */
+  void deliver(std::vector<target_report> reports);
+
   /** Tells that this process stood still. */
   void paused();
 
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -64,6 +64,7 @@
   void execute_one(const send_peer_message& message);
   void execute_one(publish_table& publication);
   void execute_one(const directory_note& note);
+  void execute_one(const reported_targets& told);
   http_response on_get(const std::string& target);
   http_response on_metrics_get(const std::string& target);
   forwarder_status status() const;
@@ -138,6 +139,12 @@
         directory_->paused();
     });
   });
+  segments_.on_reports([this](std::vector<target_report> reports) {
+    asio_ns::post(loop_, [this, r = std::move(reports)]() mutable {
+      if (directory_ != nullptr)
+        directory_->deliver(std::move(r));
+    });
+  });
   auto started = segments_.start();
   if (started)
     started = bind_peers();
@@ -281,6 +288,10 @@
   log(log_category::control, log_level::info, note.message, note.fields);
 }
 
+void forwarder::execute_one(const reported_targets& told) {
+  segments_.reported(told.reports);
+}
+
 http_response forwarder::on_get(const std::string& target) {
   if (target != platform::ready_path)
     return {http_not_found, "text/plain", ""};
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -34,6 +34,7 @@
            {{"placement", "other_zone"}});
   out->add(metric::unanswered, static_cast<double>(c.unanswered));
   out->add(metric::doubts, static_cast<double>(c.doubts));
+  out->add(metric::reports, static_cast<double>(c.reports));
   out->add(metric::malformed, static_cast<double>(c.malformed));
   out->add(metric::flows, static_cast<double>(view.flows));
 }
@@ -72,6 +73,7 @@
   v["cold_left_ms"] = static_cast<Json::Int64>(t.cold_left / us_per_ms);
   v["in_hand"] = t.in_hand;
   v["failures"] = t.failures;
+  v["reported"] = t.reported;
   return v;
 }
 
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -25,11 +25,13 @@
 /** Room for the largest packet and one byte more, which shows a longer one. */
 constexpr size_t packet_room =
     platform::header_bytes + platform::max_data_bytes + 1;
+/** Observations of other balancers that wait for the thread. */
+constexpr size_t max_reported = 1024;
 constexpr int receive_buffer_bytes = 1 << 20;
 /** Lines a second of each kind of event, about 300 bytes each. Beliefs and
  * refusals explain failures; drops can be caused by anybody. */
 constexpr std::array<int, static_cast<size_t>(forwarding_event_kind::end)>
-    lines_per_second = {20, 20, 5, 20, 20, 20, 20};
+    lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20};
 /** A thread that sleeps this much longer than it asked to was not run. Routers
  * probe twice a second and move flows after two misses, so that a shorter pause
  * moves none. */
@@ -132,12 +134,23 @@
   }
 }
 
+void segment_runner::reported(const std::vector<target_report>& reports) {
+  const std::lock_guard<std::mutex> lock(update_mutex_);
+  // A thread that is not run takes none; the oldest are of no use by then.
+  if (reported_.size() > max_reported)
+    reported_.clear();
+  reported_.insert(reported_.end(), reports.begin(), reports.end());
+}
+
 void segment_runner::take_update() {
   std::optional<update> next;
+  std::vector<target_report> reports;
   {
     const std::lock_guard<std::mutex> lock(update_mutex_);
     next = std::exchange(update_, std::nullopt);
+    reports = std::exchange(reported_, {});
   }
+  core_.reported(boot_now(), reports);
   if (!next.has_value())
     return;
   table_ = next->table;
@@ -199,6 +212,7 @@
   out.cold_left = std::max<time_us>(target.entry.cold_until - now, 0);
   out.in_hand = core_.placing().in_hand(target.token);
   out.failures = core_.placing().failures(target.token);
+  out.reported = core_.placing().reported_failures(target.token);
   return out;
 }
 
@@ -233,6 +247,9 @@
     if (count < batch_size)
       core_.tick(now);
     write_events(now);
+    auto reports = core_.take_reports();
+    if (!reports.empty() && on_reports_)
+      on_reports_(std::move(reports));
   }
 }
 
@@ -258,6 +275,7 @@
     fields.emplace_back("target", event.target);
     fields.emplace_back("zone", event.zone);
     fields.emplace_back("failures", std::to_string(event.failures));
+    fields.emplace_back("reported", std::to_string(event.reported));
     fields.emplace_back("in_hand", std::to_string(event.in_hand));
   }
   if (event.candidates != 0) {
--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -90,6 +90,7 @@
 void emu_world::at_balancer(balancer* b, uint64_t flow_number, segment s) {
   forwarding_decision decision = b->forwarding->on_segment(clock_.now(), s);
   arm_traffic(b);
+  pass_reports(b);
   const bool guesses = options_.plant == emu_plant::guess_tokens ||
                        options_.plant == emu_plant::reset_open_flows;
   // Planted: the balancer has lost some targets and does not drop segments.
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -184,10 +184,19 @@
   clock_.after(std::max<time_us>(next - clock_.now(), 1), [this, b, life] {
     if (b->life != life)
       return;
-    on_balancer(b, [this, b] { b->forwarding->tick(clock_.now()); });
+    on_balancer(b, [this, b] {
+      b->forwarding->tick(clock_.now());
+      pass_reports(b);
+    });
   });
 }
 
+void emu_world::pass_reports(balancer* b) {
+  const auto reports = b->forwarding->take_reports();
+  if (!reports.empty())
+    execute(b, b->directory->on_reports(clock_.now(), reports));
+}
+
 void emu_world::execute(balancer* b, directory_core::actions actions) {
   for (auto& action : actions) {
     if (auto* call = std::get_if<registry_call>(&action))
@@ -196,6 +205,8 @@
       execute_one(b, *message);
     else if (auto* published = std::get_if<publish_table>(&action))
       execute_one(b, *published);
+    else if (auto* told = std::get_if<reported_targets>(&action))
+      b->forwarding->reported(clock_.now(), told->reports);
   }
   arm(b);
 }
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -105,6 +105,7 @@
   void execute_one(balancer* b, const registry_call& call);
   void execute_one(balancer* b, const send_peer_message& message);
   void execute_one(balancer* b, const publish_table& published);
+  void pass_reports(balancer* b);
   void arm(balancer* b);
   void arm_traffic(balancer* b);
   void on_balancer(balancer* b, sim_clock::event event);
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -114,6 +114,24 @@
   return whole;
 }
 
+BOOST_AUTO_TEST_CASE(reports_keep_their_values) {
+  const auto c = context("x", key_a);
+  peer_reports m{{5, 6}, 7, 8, {{9, target_news::answers, 10, 11, 12}}};
+  const auto datagrams = encode_datagrams(c, m, 1);
+  BOOST_REQUIRE(datagrams.size() == 1u);
+  auto decoded =
+      decode_peer_message(c, datagrams[0].data(), datagrams[0].size());
+  BOOST_REQUIRE(decoded);
+  const auto* back = std::get_if<peer_reports>(&decoded.value());
+  BOOST_REQUIRE(back != nullptr);
+  BOOST_TEST((back->address == endpoint{5, 6}));
+  BOOST_TEST(back->sequence == 8u);
+  BOOST_REQUIRE(back->reports.size() == 1u);
+  BOOST_TEST(back->reports[0].token == 9u);
+  BOOST_TEST((back->reports[0].news == target_news::answers));
+  BOOST_TEST(back->reports[0].left == 11);
+}
+
 // A configuration of a large installation does not fit one datagram.
 BOOST_AUTO_TEST_CASE(large_messages_travel_in_fragments) {
   const auto c = context("x", key_a);
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -2,110 +2,9 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 
-#include "turmeric/coordination/forwarding_core_base.h"
+#include "forwarding_fixture.h"
 
 namespace turmeric {
-namespace {
-
-constexpr endpoint route_address{0xc6120001, 443};
-
-random_source fixed_random(uint64_t seed) {
-  return [seed, n = uint64_t{0}]() mutable { return hash_pair(++n, seed); };
-}
-
-/** A table of targets that can be changed between segments. */
-struct world {
-  world() {
-    routing_entry routing;
-    routing.version = 1;
-    route_entry route;
-    route.address = route_address;
-    route.services = {{"notes", 1}};
-    routing.routes = {route};
-    routing.services = {{"notes", 2000, 0.0}};
-    input.routing = std::make_shared<const directory_value>(routing);
-  }
-
-  known_target& add(const std::string& name, const std::string& zone) {
-    known_target t;
-    t.entry.name = name;
-    t.entry.number = hash_name(name);
-    t.entry.service = "notes";
-    t.entry.zone = zone;
-    t.entry.slots = 2;
-    t.entry.address = {0x0a000001, static_cast<uint16_t>(8000 + count++)};
-    input.targets.push_back(t);
-    return input.targets.back();
-  }
-
-  std::shared_ptr<const forwarding_table> table() const {
-    return std::make_shared<const forwarding_table>(input);
-  }
-
-  table_input input;
-  int count = 0;
-};
-
-/** One balancer of zone "north" with helpers to play callers. */
-struct player {
-  explicit player(const world& w, uint64_t seed = 1)
-      : core(options(), fixed_random(seed)) {
-    core.table(now, w.table());
-  }
-
-  static forwarding_options options() {
-    forwarding_options o;
-    o.placing.zone = "north";
-    return o;
-  }
-
-  segment from(uint16_t port) const {
-    segment s;
-    s.source = {0x64400001, port};
-    s.destination = route_address;
-    return s;
-  }
-
-  forwarding_decision open(uint16_t port) {
-    segment s = from(port);
-    s.flags.opens = true;
-    return core.on_segment(now, s);
-  }
-
-  /** A later segment of a flow. */
-  forwarding_decision send(uint16_t port,
-                           flow_token token,
-                           uint32_t acknowledged,
-                           bool finishes = false) {
-    segment s = from(port);
-    s.flags.acknowledges = true;
-    s.flags.finishes = finishes;
-    s.token = token;
-    s.acknowledged = acknowledged;
-    return core.on_segment(now, s);
-  }
-
-  /** A whole short flow: opening, answer, end. */
-  std::string serve(uint16_t port) {
-    const auto opened = open(port);
-    wait(5 * us_per_ms);
-    send(port, opened.target->token, 1);
-    wait(20 * us_per_ms);
-    send(port, opened.target->token, 600, true);
-    send(port, opened.target->token, 601);
-    return opened.target->entry.name;
-  }
-
-  void wait(time_us by) {
-    now += by;
-    core.tick(now);
-  }
-
-  time_us now = 1000 * us_per_s;
-  forwarding_core core;
-};
-
-}  // namespace
 
 BOOST_AUTO_TEST_SUITE(forwarding_suite)
 
@@ -244,7 +143,7 @@
 
 // Before anything is known nothing may be forwarded or refused.
 BOOST_AUTO_TEST_CASE(without_a_table_everything_is_dropped) {
-  forwarding_core core(player::options(), fixed_random(1));
+  forwarding_core core(player::options(), seeded_random(1));
   segment s;
   s.flags.opens = true;
   BOOST_TEST((core.on_segment(us_per_s, s).act == forwarding_act::drop));
--- /dev/null
+++ b/tests/unit/report_test.cpp
@@ -0,0 +1,220 @@
+/** @file report_test.cpp What balancers tell each other of silent targets. */
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "directory_fixture.h"
+#include "forwarding_fixture.h"
+
+namespace turmeric {
+namespace {
+
+/** Two targets in the own zone and one elsewhere. */
+world three_targets() {
+  world w;
+  w.add("a", "north");
+  w.add("b", "north");
+  w.add("c", "south");
+  return w;
+}
+
+target_report silent(const std::string& name, uint32_t failures) {
+  return {token_of(name), target_news::silent, 40 * us_per_ms, 600 * us_per_ms,
+          failures};
+}
+
+/** Opens flows one after another. @return How many went to @p name. */
+int opened_at(player* p, const std::string& name, int flows, uint16_t port) {
+  int count = 0;
+  for (int i = 0; i < flows; ++i) {
+    const auto decision = p->open(static_cast<uint16_t>(port + i));
+    count += decision.target->entry.name == name ? 1 : 0;
+    p->wait(us_per_ms);
+    p->send(static_cast<uint16_t>(port + i), decision.target->token, 1, true);
+  }
+  return count;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(report_suite)
+
+struct hearing_row {
+  const char* name;
+  std::vector<target_report> reports;
+  time_us after;  ///< Before the flows are opened.
+  bool avoided;
+};
+
+BOOST_AUTO_TEST_CASE(targets_that_others_saw_silent_are_avoided) {
+  target_report answers = silent("a", 0);
+  answers.news = target_news::answers;
+  answers.left = 0;
+  target_report back = answers;
+  back.left = 2 * us_per_s;
+  target_report nonsense = silent("a", 2);
+  nonsense.news = target_news::end;
+  target_report unknown = silent("nobody", 2);
+  const hearing_row rows[] = {
+      {"nothing told", {}, 0, false},
+      {"one opening", {silent("a", 1)}, 0, true},
+      {"two openings", {silent("a", 1), silent("a", 1)}, 0, true},
+      {"sender's next try is due", {silent("a", 2)}, 700 * us_per_ms, true},
+      {"sender is gone", {silent("a", 2)}, 900 * us_per_ms, false},
+      {"it answers again", {silent("a", 1), answers}, 0, false},
+      {"it is back, maybe cold", {silent("a", 2), back}, us_per_s, true},
+      {"it was back long ago", {silent("a", 2), back}, 3 * us_per_s, false},
+      {"unknown kind", {nonsense}, 0, false},
+      {"unknown target", {unknown}, 0, false},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      player p(three_targets());
+      p.core.reported(p.now, row.reports);
+      p.wait(row.after);
+      const int count = opened_at(&p, "a", 20, 1000);
+      BOOST_TEST((count == 0) == row.avoided);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(one_lost_packet_elsewhere_rules_no_target_out) {
+  player p(three_targets());
+  p.core.reported(p.now, {silent("a", 1)});
+  int count = 0;
+  // Flows that stay open fill the other target of the zone.
+  for (uint16_t i = 0; i < 12; ++i)
+    count += p.open(2000 + i).target->entry.name == "a" ? 1 : 0;
+  BOOST_TEST(count > 0);
+}
+
+BOOST_AUTO_TEST_CASE(own_newer_answers_go_before_reports) {
+  player p(three_targets());
+  for (uint16_t i = 0; i < 10; ++i)
+    p.serve(3000 + i);
+  p.core.reported(p.now, {silent("a", 5)});
+  BOOST_TEST(opened_at(&p, "a", 20, 4000) != 0);
+}
+
+BOOST_AUTO_TEST_CASE(silence_is_told_once_and_its_end_too) {
+  world w;
+  w.add("a", "north");
+  player p(w);
+  const flow_token token = p.open(1).target->token;
+  p.wait(30 * us_per_ms);
+  BOOST_TEST(p.core.take_reports().empty());
+  p.wait(20 * us_per_ms);
+  auto told = p.core.take_reports();
+  BOOST_REQUIRE(told.size() == 1u);
+  BOOST_TEST((told[0].news == target_news::silent));
+  BOOST_TEST(told[0].token == token);
+  BOOST_TEST(told[0].failures == 1u);
+  BOOST_TEST(told[0].age == 50 * us_per_ms);
+  BOOST_TEST(p.core.take_reports().empty());
+  p.send(1, token, 1);
+  told = p.core.take_reports();
+  BOOST_REQUIRE(told.size() == 1u);
+  BOOST_TEST((told[0].news == target_news::answers));
+  // After one lost packet nobody need spare it.
+  BOOST_TEST(told[0].left == 0);
+}
+
+// A balancer whose way to a zone is cut would make others avoid it too.
+BOOST_AUTO_TEST_CASE(silence_of_the_way_to_a_zone_is_not_told) {
+  world w;
+  for (int i = 0; i < 6; ++i)
+    w.add("s-" + std::to_string(i), "south");
+  player p(w);
+  for (uint16_t i = 0; i < 12; ++i)
+    p.open(100 + i);
+  p.wait(100 * us_per_ms);
+  BOOST_TEST(p.core.take_reports().size() <=
+             2 * placement_options().silent_targets);
+}
+
+/** A directory core that has heard of one peer. */
+struct talker : follower_fixture {
+  talker() {
+    load();
+    hear(7, 1);
+    messages.clear();
+  }
+
+  void hear(uint64_t incarnation, uint64_t sequence) {
+    peer_hello hello;
+    hello.name = "front-2";
+    hello.zone = "north";
+    hello.address = peer_address;
+    hello.incarnation = incarnation;
+    hello.sequence = sequence;
+    take(core.on_peer(now, hello));
+  }
+
+  /** @return How many observations came out. */
+  size_t told(uint64_t incarnation, uint64_t sequence, size_t reports = 1) {
+    peer_reports message{peer_address, incarnation, sequence, {}};
+    message.reports.resize(reports);
+    size_t out = 0;
+    for (const auto& action : core.on_peer(now, message)) {
+      if (const auto* r = std::get_if<reported_targets>(&action))
+        out += r->reports.size();
+    }
+    return out;
+  }
+
+  std::vector<peer_reports> sent() {
+    std::vector<peer_reports> out;
+    for (const auto& m : std::exchange(messages, {})) {
+      if (const auto* r = std::get_if<peer_reports>(&m.body))
+        out.push_back(*r);
+    }
+    return out;
+  }
+};
+
+BOOST_AUTO_TEST_CASE(reports_go_out_at_once_and_then_together) {
+  talker f;
+  f.advance(us_per_s);
+  f.sent();
+  f.take(f.core.on_reports(f.now, {silent("a", 1)}));
+  BOOST_TEST(f.sent().size() == 1u);
+  f.take(f.core.on_reports(f.now, {silent("a", 1)}));
+  f.take(f.core.on_reports(f.now, {silent("b", 1)}));
+  BOOST_TEST(f.sent().empty());
+  BOOST_TEST(f.core.next_tick() <= f.now + directory_options().report_pause);
+  f.advance(directory_options().report_pause);
+  const auto later = f.sent();
+  BOOST_REQUIRE(later.size() == 1u);
+  BOOST_TEST(later[0].reports.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(old_and_foreign_reports_are_ignored) {
+  talker f;
+  BOOST_TEST(f.told(7, 2) == 1u);
+  BOOST_TEST(f.told(7, 2) == 0u);  // Replayed.
+  BOOST_TEST(f.told(7, 1) == 0u);
+  BOOST_TEST(f.told(6, 9) == 0u);  // Of an earlier process.
+  BOOST_TEST(f.told(7, 3, 1000) == 0u);
+  f.hear(8, 1);
+  BOOST_TEST(f.told(8, 1) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_starts_is_told_what_still_holds) {
+  talker f;
+  f.advance(us_per_s);
+  target_report brief = silent("b", 1);
+  brief.left = 100 * us_per_ms;
+  f.take(f.core.on_reports(f.now, {silent("a", 1), brief}));
+  f.sent();
+  f.advance(200 * us_per_ms);
+  f.hear(8, 1);
+  const auto sent = f.sent();
+  BOOST_REQUIRE(sent.size() == 1u);
+  BOOST_REQUIRE(sent[0].reports.size() == 1u);
+  BOOST_TEST(sent[0].reports[0].token == token_of("a"));
+  BOOST_TEST(sent[0].reports[0].left == 400 * us_per_ms);
+  BOOST_TEST(sent[0].reports[0].age == 240 * us_per_ms);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace turmeric
