--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -84,6 +84,7 @@
   std::vector<uint64_t> balancers;       ///< Other live ones, by hashed name.
   std::vector<uint64_t> zone_balancers;  ///< Those of the own zone.
   std::set<std::string> silent_zones;    ///< Whose balancers are not heard.
+  bool registry_lost = false;            ///< Targets can't be asked for.
 };
 
 /** A line for the log about a change of belief. */
@@ -198,7 +199,7 @@
   void on(time_us now, const peer_directory& directory, actions* out);
   void on(time_us now, const peer_reports& message, actions* out);
   void send_reports(time_us now, actions* out);
-  void tell_started(time_us now, const known_peer& peer, actions* out);
+  void tell_what_holds(time_us now, const known_peer& peer, actions* out);
   void push_to(time_us now, known_peer* peer, actions* out);
   void push_kind(time_us now,
                  directory_kind kind,
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -154,6 +154,9 @@
     placement_.set_silent_zones(std::move(zones));
   }
 
+  /** Sets whether the registry can't tell which targets are cold. */
+  void set_registry_lost(bool lost) { placement_.set_registry_lost(lost); }
+
   /** Other balancers told what they saw of targets. */
   void reported(time_us now, const std::vector<target_report>& reports);
 
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -56,7 +56,12 @@
 };
 
 /** What a heartbeat brought. */
-enum class hello_news : uint8_t { stale, known, started };
+enum class hello_news : uint8_t {
+  stale,
+  known,
+  returned,  ///< Of a peer that had counted as gone.
+  started,   ///< Of a process not heard before.
+};
 
 /** The known balancers. */
 class peer_table {
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -61,8 +61,9 @@
   size_t silent_targets = 2;
   /** Time between single flows that probe such a zone. */
   time_us zone_probe_time = us_per_s;
-  /** Cost of a target that others saw silent, until that is confirmed: as much
-   * as a full target's, since one lost packet looks the same. */
+  /** Cost of a target that others saw silent once, and of one that answers
+   * after that: as much as a full target's, since one lost packet looks the
+   * same. */
   double reported_cost = 1.0;
   /** Unanswered openings, seen here and by others, that confirm a silence. */
   uint32_t confirmed_failures = 2;
@@ -145,6 +146,9 @@
     silent_zones_ = std::move(zones);
   }
 
+  /** Sets whether the registry can't tell which targets are cold. */
+  void set_registry_lost(bool lost) { registry_lost_ = lost; }
+
   /** Sets the balancers that share the cold targets.
    * @param self This balancer; it need not be among @p others. */
   void set_balancers(uint64_t self, std::vector<uint64_t> others);
@@ -162,6 +166,7 @@
     time_us reported_until = 0;
     bool probing = false;  ///< A first flow after a doubt is on its way.
     time_us recovering_until = 0;
+    double recovering_cost = 0.0;
     time_us cold_next = 0;  ///< Earliest time of the next flow while cold.
   };
 
@@ -171,6 +176,9 @@
     /** Targets silent since. */
     std::set<flow_token> silent;
     time_us doubted_until = 0;
+    /** The way there was cut until lately; which of its targets started anew
+     * meanwhile is not known. */
+    time_us unsure_until = 0;
     bool probing = false;
   };
 
@@ -192,6 +200,8 @@
   double cost_of(time_us now, const forwarding_target& target) const;
   double evidence_cost(time_us now, const evidence& e) const;
   bool confirmed(const evidence& e) const;
+  void spare(time_us now, time_us time, bool gone, evidence* e) const;
+  bool zone_unsure(time_us now, const std::string& zone) const;
   void tell(const forwarding_target& target,
             target_news news,
             time_us age,
@@ -220,6 +230,7 @@
   std::map<std::string, zone_load> loads_;  ///< By service.
   std::vector<target_report> reports_;      ///< Not yet told.
   std::vector<uint64_t> zone_others_;
+  bool registry_lost_ = false;
   double zone_cost_ = 0.0;  ///< Of another zone, for the flow being placed.
 };
 
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -121,6 +121,8 @@
     f->lost = false;
     out.push_back(directory_note{"registry regained",
                                  {{"kind", std::string(name_of(kind))}}});
+    if (kind == directory_kind::targets)
+      publish(now, &out);
   }
   f->failures = 0;
   if (f->op == registry_op::list)
@@ -199,6 +201,8 @@
          {"call", f.op == registry_op::list ? "list" : "watch"},
          {"status", std::string(name_of(reply.status))},
          {"revision", std::to_string(f.belief.mark().revision)}}});
+    if (kind == directory_kind::targets)
+      publish(now, out);
   }
   f.listed.clear();
   if (reply.status == registry_status::history_gone) {
@@ -347,7 +351,8 @@
   published_silent_ = peers_.silent_zones(now);
   out->push_back(
       publish_table{std::make_shared<const forwarding_table>(make_input()),
-                    published_balancers_, zone_ids(now), published_silent_});
+                    published_balancers_, zone_ids(now), published_silent_,
+                    of(directory_kind::targets).lost});
 }
 
 directory_core::actions directory_core::tick(time_us now) {
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -132,8 +132,8 @@
     out->push_back(send_peer_message{hello.address, make_hello(now)});
   }
   known_peer* peer = peers_.find(hello.address);
-  if (news == hello_news::started)
-    tell_started(now, *peer, out);
+  if (news != hello_news::known)
+    tell_what_holds(now, *peer, out);
   // This zone was cut off, and what it knows is old. Open connections may
   // take seconds to notice that the way is free again.
   if (published_silent_.count(hello.zone) != 0 && all_zones_silent()) {
--- a/packages/coordination/src/directory_core_reports.cpp
+++ b/packages/coordination/src/directory_core_reports.cpp
@@ -7,8 +7,8 @@
 namespace turmeric {
 namespace {
 
-/** Targets of which the last observation is remembered for peers that start;
- * more fail only together with their zone. */
+/** Targets of which the last observation is remembered for peers that start
+ * or return; more fail only together with their zone. */
 constexpr size_t max_told = 256;
 
 }  // namespace
@@ -38,9 +38,9 @@
     out->push_back(send_peer_message{to, message});
 }
 
-void directory_core::tell_started(time_us now,
-                                  const known_peer& peer,
-                                  actions* out) {
+void directory_core::tell_what_holds(time_us now,
+                                     const known_peer& peer,
+                                     actions* out) {
   peer_reports message{
       options_.peers.address, options_.incarnation, ++sequence_, {}};
   for (auto it = told_.begin(); it != told_.end();) {
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -22,6 +22,12 @@
 /** Events kept for the log at most; the counters count all. */
 constexpr size_t max_events = 64;
 
+/** Compares sequence numbers, which wrap around. A repeated segment carries
+ * what its first copy acknowledged. */
+bool is_later(uint32_t a, uint32_t b) {
+  return static_cast<int32_t>(a - b) > 0;
+}
+
 /** The service of a new flow: by weight, the same for repeated openings. */
 const std::string& service_of(const route_entry& route, const flow_key& key) {
   const uint64_t total = std::accumulate(
@@ -198,10 +204,11 @@
     answer_times_(static_cast<double>(now - flow.opened) / us_per_ms);
   if (!flow.answered && sampled(key))
     add_event(now, forwarding_event_kind::answered, key, target.token);
-  if (!flow.answered || flow.acknowledged != s.acknowledged)
+  if (!flow.answered || is_later(s.acknowledged, flow.acknowledged)) {
     note_answer(now, key, target);
+    flow.acknowledged = s.acknowledged;
+  }
   flow.answered = true;
-  flow.acknowledged = s.acknowledged;
   flow.seen = now;
   if (ends && !flow.ended && sampled(key))
     add_event(now, forwarding_event_kind::ended, key, target.token);
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -42,12 +42,15 @@
     peer.pushed = {};
     peer.reports_sequence = 0;
   }
+  const bool returned = !last.name.empty() && !alive(now, peer);
   peer.hello = hello;
   peer.heard = now;
   update_sizes();
   for (const endpoint& other : hello.peers)
     add_contact(now, other);
-  return started ? hello_news::started : hello_news::known;
+  if (started)
+    return hello_news::started;
+  return returned ? hello_news::returned : hello_news::known;
 }
 
 void peer_table::take_turns(std::vector<endpoint> from,
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -31,7 +31,7 @@
   // While the own zone has room its balancers share its targets among them;
   // beyond that all balancers share all targets.
   const bool in_zone_only = zone_cost_ > 0;
-  if ((own_zone || !in_zone_only) &&
+  if (!zone_unsure(now, target.entry.zone) && (own_zone || !in_zone_only) &&
       shares(target, in_zone_only ? zone_others_ : others_))
     cost -= options_.share_discount;
   if (zone_doubted(now, target.entry.zone))
@@ -52,7 +52,7 @@
   if (now < e.reported_until || (e.probing && e.reported != 0))
     cost += confirmed(e) ? options_.doubt_cost : options_.reported_cost;
   if (now < e.recovering_until)
-    cost += options_.recovering_cost;
+    cost += e.recovering_cost;
   return cost;
 }
 
@@ -60,6 +60,18 @@
   return e.failures + e.reported >= options_.confirmed_failures;
 }
 
+void placement::spare(time_us now, time_us time, bool gone, evidence* e) const {
+  const double cost = gone ? options_.recovering_cost : options_.reported_cost;
+  const bool spared = now < e->recovering_until;
+  e->recovering_cost = spared ? std::max(e->recovering_cost, cost) : cost;
+  e->recovering_until = std::max(e->recovering_until, now + time);
+}
+
+bool placement::zone_unsure(time_us now, const std::string& zone) const {
+  const auto it = zones_.find(zone);
+  return it != zones_.end() && now < it->second.unsure_until;
+}
+
 void placement::tell(const forwarding_target& target,
                      target_news news,
                      time_us age,
@@ -259,16 +271,19 @@
       other.probing = false;
     }
   }
+  if (zone.silent.size() >= options_.silent_targets)
+    zone.unsure_until = now + options_.recovering_time;
   zone.silent.clear();
   zone.probing = false;
   evidence& e = evidence_[target.token];
-  const bool gone = confirmed(e);
-  if (e.failures >= options_.gone_failures || gone)
-    e.recovering_until = now + options_.recovering_time;
-  // Only where it is sure that it was gone do others spare it too.
-  if (e.failures + e.reported != 0)
-    tell(target, target_news::answers, 0, gone ? options_.recovering_time : 0,
-         0);
+  // Where its entry can't say that it is cold, any silence may mean it.
+  const bool gone = confirmed(e) || registry_lost_;
+  if (e.failures + e.reported != 0) {
+    spare(now, options_.recovering_time,
+          gone || e.failures >= options_.gone_failures, &e);
+    tell(target, target_news::answers, 0, options_.recovering_time,
+         gone ? 1 : 0);
+  }
   e.answered = now;
   e.failures = e.reported = 0;
   e.doubted_until = e.reported_until = 0;
@@ -306,8 +321,7 @@
     e.failures = e.reported = 0;
     e.doubted_until = e.reported_until = 0;
     e.probing = false;
-    if (left != 0)
-      e.recovering_until = now + left;
+    spare(now, left, report.failures != 0, &e);
     return;
   }
   if (e.answered >= now - std::max<time_us>(report.age, 0))
--- a/packages/state/include/turmeric/state/target_report_type.h
+++ b/packages/state/include/turmeric/state/target_report_type.h
@@ -23,7 +23,8 @@
   time_us age = 0;
   /** Time for which its sender goes on to avoid or spare the target. */
   time_us left = 0;
-  /** Unanswered openings that no earlier report told of. */
+  /** Unanswered openings that no earlier report told of; in news of an answer,
+   * 1 if its sender is sure that the target was gone, else 0. */
   uint32_t failures = 0;
 };
 
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -76,6 +76,7 @@
     std::vector<uint64_t> balancers;       ///< Other live ones.
     std::vector<uint64_t> zone_balancers;  ///< Those of the own zone.
     std::set<std::string> silent_zones;    ///< Whose balancers are not heard.
+    bool registry_lost = false;  ///< It can't tell which targets are cold.
   };
 
   /** Sets what to call, on the traffic thread, after this process stood still.
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -281,7 +281,8 @@
   segments_.publish({std::move(publication.table), self_,
                      std::move(publication.balancers),
                      std::move(publication.zone_balancers),
-                     std::move(publication.silent_zones)});
+                     std::move(publication.silent_zones),
+                     publication.registry_lost});
 }
 
 void forwarder::execute_one(const directory_note& note) {
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -158,6 +158,7 @@
   core_.set_balancers(next->self, std::move(next->balancers));
   core_.set_zone_balancers(std::move(next->zone_balancers));
   core_.set_silent_zones(std::move(next->silent_zones));
+  core_.set_registry_lost(next->registry_lost);
 }
 
 void segment_runner::await_first_table() {
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -193,6 +193,8 @@
 
 void emu_world::pass_reports(balancer* b) {
   const auto reports = b->forwarding->take_reports();
+  for (const auto& report : reports)
+    follow_report(*b, report);
   if (!reports.empty())
     execute(b, b->directory->on_reports(clock_.now(), reports));
 }
@@ -296,6 +298,7 @@
   b->forwarding->set_balancers(hash_name(b->name), published.balancers);
   b->forwarding->set_zone_balancers(published.zone_balancers);
   b->forwarding->set_silent_zones(published.silent_zones);
+  b->forwarding->set_registry_lost(published.registry_lost);
   if (options_.plant == emu_plant::old_configuration && chance(0.2))
     b->routing_version = UINT64_MAX;
   if (b->table->routing_version() < b->routing_version)
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -122,6 +122,8 @@
   void send_opening(uint64_t flow_number, uint32_t copy);
   void send(const flow& f, segment s);
   void at_balancer(balancer* b, uint64_t flow_number, segment s);
+  void follow_report(const balancer& b, const target_report& report);
+  void follow_placement(const balancer& b, const forwarding_decision& decision);
   void at_target(balancer* from,
                  const std::string& name,
                  const endpoint& address,
