--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -36,6 +36,18 @@
   /** A balancer that starts gives its peers this long to tell what they know
    * before it asks the registry; several times a heartbeat's way. */
   time_us peers_first = 30 * us_per_ms;
+  /** Time that a balancer which starts listens to its peers before it asks one
+   * of them for what it does not know: a few ways between zones, so that a
+   * herd does not ask the seeds alone. */
+  time_us ask_delay = 10 * us_per_ms;
+  /** Time after which it asks another one: a directory of 3,000 targets takes
+   * 150 ms on a link of 10 Mbit/s. */
+  time_us ask_patience = 150 * us_per_ms;
+  /** Peers that it tries to hear of at once before that. */
+  size_t first_contacts = 16;
+  /** Known peers above which a fleet is large: its directory, read by all that
+   * start at once, would take seconds of the registry's link. */
+  size_t large_fleet = 24;
   /** Answers take this much longer than a watch's wait at most. */
   time_us watch_margin = 700 * us_per_ms;
   /** Pause after a watch that brought changes, so that changes which come
@@ -155,6 +167,7 @@
     registry_op op = registry_op::list;
     bool must_list = true;
     time_us next_call = 0;
+    time_us asked = 0;  ///< When a peer was last asked for all of it; 0: never.
     uint32_t failures = 0;
     bool lost = false;  ///< The registry did not answer the last call.
     duty_reason duty = duty_reason::small_zone;
@@ -205,8 +218,13 @@
                  directory_kind kind,
                  known_peer* peer,
                  actions* out);
+  void meet_more(time_us now, actions* out);
+  void ask_peers(time_us now, actions* out);
+  const known_peer* teacher_of(time_us now, directory_kind kind);
+  bool left_to_peers(time_us now, directory_kind kind) const;
   bool all_zones_silent() const;
   void ask_if_ahead(time_us now, known_peer* peer, actions* out);
+  bool is_small(const peer_directory& directory) const;
   void push_change(time_us now, directory_kind kind, actions* out);
   peer_directory directory_for(time_us now,
                                directory_kind kind,
@@ -229,6 +247,7 @@
   uint64_t sequence_ = 0;
   time_us next_round_ = 0;
   time_us next_forget_ = 0;
+  time_us next_ask_ = INT64_MAX;  ///< While something is not known at all.
   std::vector<target_report> pending_reports_;  ///< Not yet sent.
   time_us reports_sent_ = 0;
   /** Last observation of each target, and until when it matters. */
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -99,6 +99,15 @@
   /** @return Hashes of the names of the live peers. */
   std::vector<uint64_t> alive_ids(time_us now) const;
 
+  /** @return Some addresses to try that nothing was heard of yet. */
+  std::vector<endpoint> due_contacts(time_us now);
+
+  /** @return Whether @p peer was heard lately and is not leaving. */
+  bool alive(time_us now, const known_peer& peer) const;
+
+  /** @return The number of peers heard of so far. */
+  size_t heard() const { return own_zone_ + other_zone_; }
+
   /** @return The peer at @p address, or null. */
   known_peer* find(endpoint address);
 
@@ -106,8 +115,6 @@
 
  private:
   void forget_silent(time_us now);
-  std::vector<endpoint> due_contacts(time_us now);
-  bool alive(time_us now, const known_peer& peer) const;
   void update_sizes();
   void take_turns(std::vector<endpoint> from,
                   size_t count,
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -149,6 +149,10 @@
   follower& f = of(kind);
   if (f.call != 0 || now < f.next_call)
     return false;
+  if (!f.belief.loaded() && left_to_peers(now, kind)) {
+    f.next_call = f.asked + options_.ask_patience;
+    return false;
+  }
   if (!f.belief.loaded() || f.must_list)
     return true;
   f.duty = duty_.decide(now, kind, peers_);
@@ -170,10 +174,11 @@
   if (reply.more && !reply.changes.empty())
     return;
   f.must_list = false;
+  const bool first = !f.belief.loaded();
   const auto changes = f.belief.replace(now, f.list_revision, f.listed);
   f.listed.clear();
   believe(now, kind, "registry list", changes, out);
-  if (!changes.empty())
+  if (!first && !changes.empty())
     push_change(now, kind, out);
 }
 
@@ -363,6 +368,8 @@
   }
   if (now >= next_round_)
     send_round(now, &out);
+  if (now >= next_ask_)
+    ask_peers(now, &out);
   if (now - reports_sent_ >= options_.report_pause)
     send_reports(now, &out);
   if (now >= next_forget_) {
@@ -374,7 +381,7 @@
 }
 
 time_us directory_core::next_tick() const {
-  time_us next = std::min(next_round_, next_forget_);
+  time_us next = std::min({next_round_, next_forget_, next_ask_});
   if (!pending_reports_.empty())
     next = std::min(next, reports_sent_ + options_.report_pause);
   for (const auto& f : followers_) {
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -143,6 +143,56 @@
   }
   push_to(now, peer, out);
   ask_if_ahead(now, peer, out);
+  if (!complete())
+    meet_more(now, out);
+}
+
+void directory_core::meet_more(time_us now, actions* out) {
+  if (next_ask_ == INT64_MAX)
+    next_ask_ = now + options_.ask_delay;
+  if (peers_.heard() >= options_.first_contacts)
+    return;
+  const peer_hello hello = make_hello(now);
+  for (const endpoint& to : peers_.due_contacts(now))
+    out->push_back(send_peer_message{to, hello});
+}
+
+const known_peer* directory_core::teacher_of(time_us now, directory_kind kind) {
+  const auto index = static_cast<size_t>(kind);
+  std::vector<const known_peer*> own;
+  std::vector<const known_peer*> others;
+  for (const auto& [address, peer] : peers_.peers()) {
+    if (peer.hello.marks[index].revision != 0 && peers_.alive(now, peer))
+      (peer.hello.zone == options_.peers.zone ? own : others).push_back(&peer);
+  }
+  const auto& from = own.empty() ? others : own;
+  return from.empty() ? nullptr : from[random_() % from.size()];
+}
+
+void directory_core::ask_peers(time_us now, actions* out) {
+  next_ask_ = INT64_MAX;
+  std::map<endpoint, uint32_t> wants;
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    if (followers_[i].belief.loaded())
+      continue;
+    next_ask_ = now + options_.ask_patience;
+    const auto* teacher = teacher_of(now, static_cast<directory_kind>(i));
+    if (teacher == nullptr)
+      continue;
+    followers_[i].asked = now;
+    wants[teacher->hello.address] |= 1U << i;
+  }
+  for (const auto& [to, kinds] : wants) {
+    peer_hello hello = make_hello(now);
+    hello.wants = kinds;
+    out->push_back(send_peer_message{to, std::move(hello)});
+  }
+}
+
+bool directory_core::left_to_peers(time_us now, directory_kind kind) const {
+  const follower& f = followers_[static_cast<size_t>(kind)];
+  return peers_.peers().size() > options_.large_fleet && f.asked != 0 &&
+         now - f.asked < options_.ask_patience;
 }
 
 bool directory_core::all_zones_silent() const {
@@ -156,32 +206,41 @@
 
 void directory_core::ask_if_ahead(time_us now, known_peer* peer, actions* out) {
   uint32_t wants = 0;
+  uint32_t wants_news = 0;
   for (uint32_t i = 0; i < directory_kinds; ++i) {
     const directory_mark& own = followers_[i].belief.mark();
     const directory_mark& theirs = peer->hello.marks[i];
     time_us& since = peer->ahead_since[i];
-    if (theirs.revision <= own.revision || theirs.digest == own.digest) {
+    // What is not known at all is asked for in ask_peers().
+    if (theirs.revision <= own.revision || theirs.digest == own.digest ||
+        own.revision == 0) {
       since = 0;
       continue;
     }
+    const bool relies =
+        followers_[i].duty == duty_reason::served && !followers_[i].lost;
+    // The push to one that relies on others went astray, or was too large.
+    if (since == 0 && relies)
+      wants_news |= 1U << i;
     if (since == 0)
       since = now;
-    // The registry, or a push on its way, may be about to tell it.
+    // The registry may be about to tell the others.
     if (now - since < options_.push_patience)
       continue;
     // One that relies on others reads the registry itself; one that watches it
     // has lost it without having noticed yet, or reads it just now.
-    if (followers_[i].duty == duty_reason::served && !followers_[i].lost) {
+    if (relies) {
       since = now;
       list_again(now, static_cast<directory_kind>(i), out);
     } else {
       wants |= 1U << i;
     }
   }
-  if (wants == 0)
+  if ((wants | wants_news) == 0)
     return;
   peer_hello hello = make_hello(now);
   hello.wants = wants;
+  hello.wants_news = wants_news;
   out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
 }
 
@@ -198,11 +257,15 @@
     if (peer->behind_since[i] == 0)
       peer->behind_since[i] = now;
     const bool asked = (peer->hello.wants >> i & 1) != 0;
-    const bool waited =
-        asked || now - peer->behind_since[i] >= options_.push_patience;
+    // One that knows nothing asks by itself, and not everybody.
+    const bool news = (peer->hello.wants_news >> i & 1) != 0 &&
+                      is_small(directory_for(now, kind, peer->hello));
+    const bool waited = asked || news ||
+                        (theirs.revision != 0 &&
+                         now - peer->behind_since[i] >= options_.push_patience);
     const bool pushed_lately =
         peer->pushed[i] != 0 && now - peer->pushed[i] < options_.push_patience;
-    if ((theirs.revision == 0 || waited) && !pushed_lately)
+    if (waited && (asked || news || !pushed_lately))
       push_kind(now, kind, peer, out);
   }
 }
@@ -216,6 +279,10 @@
                                    directory_for(now, kind, peer->hello)});
 }
 
+bool directory_core::is_small(const peer_directory& directory) const {
+  return bytes_of(directory) <= options_.max_push_bytes;
+}
+
 void directory_core::push_change(time_us now,
                                  directory_kind kind,
                                  actions* out) {
@@ -225,8 +292,7 @@
     if (watches(live->hello, kind))
       continue;
     known_peer* peer = peers_.find(live->hello.address);
-    if (bytes_of(directory_for(now, kind, peer->hello)) >
-        options_.max_push_bytes)
+    if (!is_small(directory_for(now, kind, peer->hello)))
       continue;
     push_kind(now, kind, peer, out);
     // Its next heartbeat tells whether this arrived.
@@ -273,13 +339,15 @@
   follower& f = of(directory.kind);
   if (directory.from_revision > f.belief.mark().revision)
     return;  // Changes in between are missing; heartbeats bring them.
+  const bool first = !f.belief.loaded();
   const auto received = changes_of(now, directory);
   const auto changes = directory.from_revision == 0
                            ? f.belief.replace(now, directory.revision, received)
                            : f.belief.apply(now, directory.revision, received);
   believe(now, directory.kind, "peer", changes, out);
   // In a zone that is cut off from the registry the news comes from elsewhere.
-  if (!changes.empty() && f.duty != duty_reason::served)
+  // What a balancer learns at its start is no news.
+  if (!first && !changes.empty() && f.duty != duty_reason::served)
     push_change(now, directory.kind, out);
   // An open watch goes on from an older revision; its answer is complete only
   // from there and is older than what is known now, or adds to it.
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -90,7 +90,10 @@
       std::count_if(peers_.begin(), peers_.end(), [this](const auto& named) {
         return named.second.hello.zone == options_.zone;
       }));
-  other_zone_ = peers_.size() - own_zone_;
+  const auto named =
+      std::count_if(peers_.begin(), peers_.end(),
+                    [](const auto& p) { return !p.second.hello.name.empty(); });
+  other_zone_ = static_cast<size_t>(named) - own_zone_;
 }
 
 std::vector<const known_peer*> peer_table::alive_in_zone(time_us now) const {
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -155,7 +155,8 @@
                 m.marks,
                 m.peers,
                 m.watching,
-                m.wants)
+                m.wants,
+                m.wants_news)
 TURMERIC_FIELDS(target_report, m.token, m.news, m.age, m.left, m.failures)
 TURMERIC_FIELDS(peer_reports, m.address, m.incarnation, m.sequence, m.reports)
 TURMERIC_FIELDS(peer_fragment, m.message, m.index, m.count, m.bytes)
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -33,6 +33,8 @@
   uint32_t watching = 0;
   /** A bit for each kind that it asks for, as the receiver knows more. */
   uint32_t wants = 0;
+  /** The same, unless that is much: then it reads the registry. */
+  uint32_t wants_news = 0;
 };
 
 /** @return Whether the sender of @p hello watches @p kind. */
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -33,6 +33,9 @@
     const auto to_pupil = std::exchange(teacher.messages, {});
     for (const auto& m : to_pupil)
       pupil.take(pupil.core.on_peer(pupil.now, m.body));
+    // It listens for a moment before it chooses whom to ask.
+    if (round == 0)
+      pupil.advance(directory_options().ask_delay);
     const auto to_teacher = std::exchange(pupil.messages, {});
     for (const auto& m : to_teacher)
       teacher.take(teacher.core.on_peer(teacher.now, m.body));
@@ -41,6 +44,80 @@
   BOOST_TEST(pupil.openings() == 1u);
 }
 
+/** A heartbeat of one of many peers that know everything. */
+peer_hello knowing_peer(const follower_fixture& f, uint32_t number) {
+  peer_hello hello;
+  hello.name = "front-" + std::to_string(100 + number);
+  hello.zone = number % 2 == 0 ? "north" : "south";
+  hello.address = {peer_address.ip + number, peer_address.port};
+  hello.incarnation = 7;
+  hello.sequence = 1;
+  for (size_t i = 0; i < directory_kinds; ++i)
+    hello.marks[i] = f.core.belief(static_cast<directory_kind>(i)).mark();
+  return hello;
+}
+
+// Found by the sweep at 300 machines: each of the peers that heard of one that
+// started sent it the whole directory, eleven copies and more.
+BOOST_AUTO_TEST_CASE(one_peer_teaches_one_that_starts) {
+  constexpr uint32_t peers = 40;
+  follower_fixture teacher;
+  teacher.load();
+  auto options = options_of("front-2", own_address);
+  follower_fixture pupil(options);
+  for (uint32_t i = 1; i <= peers; ++i)
+    pupil.take(pupil.core.on_peer(pupil.now, knowing_peer(teacher, i)));
+  pupil.messages.clear();
+  pupil.advance(directory_options().ask_delay);
+  std::vector<endpoint> asked;
+  for (const auto& m : pupil.messages) {
+    const auto* hello = std::get_if<peer_hello>(&m.body);
+    if (hello != nullptr && hello->wants != 0)
+      asked.push_back(m.to);
+  }
+  // One for each kind at most, of the own zone, and the registry is left alone.
+  BOOST_TEST(!asked.empty());
+  BOOST_TEST(asked.size() <= directory_kinds);
+  for (const auto& to : asked)
+    BOOST_TEST((to.ip - peer_address.ip) % 2 == 0u);
+  const uint64_t call = pupil.call(directory_kind::targets).id;
+  pupil.advance(directory_options().peers_first);
+  BOOST_TEST(pupil.call(directory_kind::targets).id == call);
+  // They may have died meanwhile.
+  pupil.messages.clear();
+  pupil.advance(directory_options().ask_patience);
+  BOOST_TEST(std::any_of(pupil.messages.begin(), pupil.messages.end(),
+                         [](const auto& m) {
+                           const auto* hello = std::get_if<peer_hello>(&m.body);
+                           return hello != nullptr && hello->wants != 0;
+                         }));
+
+  // A peer that hears of one that knows nothing does not send all by itself.
+  peer_hello started = knowing_peer(teacher, 1);
+  started.marks = {};
+  teacher.messages.clear();
+  teacher.take(teacher.core.on_peer(teacher.now, started));
+  BOOST_TEST(std::none_of(
+      teacher.messages.begin(), teacher.messages.end(), [](const auto& m) {
+        return std::holds_alternative<peer_directory>(m.body);
+      }));
+}
+
+// What a balancer learns at its start is no news to its zone.
+BOOST_AUTO_TEST_CASE(first_knowledge_is_not_passed_on) {
+  follower_fixture teacher;
+  teacher.load();
+  follower_fixture pupil(options_of("front-2", own_address));
+  for (uint32_t i = 1; i <= 12; ++i)
+    pupil.take(pupil.core.on_peer(pupil.now, knowing_peer(teacher, 2 * i)));
+  pupil.messages.clear();
+  pupil.load();
+  BOOST_TEST(std::none_of(
+      pupil.messages.begin(), pupil.messages.end(), [](const auto& m) {
+        return std::holds_alternative<peer_directory>(m.body);
+      }));
+}
+
 // An entry overwritten by another writer names no target to use, but flows
 // that are open at the target go on.
 BOOST_AUTO_TEST_CASE(unreadable_entries_get_no_openings_and_keep_their_token) {
