--- a/tests/fuzz_decoders.cpp
+++ b/tests/fuzz_decoders.cpp
@@ -1,10 +1,16 @@
 /** @file fuzz_decoders.cpp Feeds arbitrary bytes to all decoders. */
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <variant>
 
 #include "turmeric/coordination/declaration_func.h"
+#include "turmeric/coordination/directory_core_base.h"
+#include "turmeric/coordination/forwarding_core_base.h"
+#include "turmeric/platform/registry_func.h"
+#include "turmeric/platform/segment_func.h"
 #include "turmeric/protocol/codec_func.h"
+#include "turmeric/protocol/fragment_base.h"
 #include "turmeric/state/change_func.h"
 #include "turmeric/state/service_type.h"
 
@@ -15,6 +21,8 @@
 /** Bytes before the kind: array, version, domain, cluster. */
 constexpr size_t envelope_bytes = 12;
 constexpr size_t packet_kinds = std::variant_size_v<packet>;
+constexpr size_t peer_kinds = std::variant_size_v<peer_message>;
+constexpr time_us some_time = 1000 * us_per_s;
 
 const codec_context& context() {
   static const codec_context c = make_codec_context("f", "").value();
@@ -41,13 +49,86 @@
   (void)decode_gossip(context(), data.data(), data.size()).has_value();
 }
 
+random_source fixed_random() {
+  return [n = uint64_t{0}]() mutable { return hash_pair(++n, 1); };
+}
+
+/** Hands what a directory core made of a message to a forwarding core. */
+void pass_on(const directory_core::actions& actions, forwarding_core* core) {
+  for (const auto& action : actions) {
+    if (const auto* published = std::get_if<publish_table>(&action))
+      core->table(some_time, published->table);
+    if (const auto* told = std::get_if<reported_targets>(&action))
+      core->reported(some_time, told->reports);
+    if (const auto* message = std::get_if<send_peer_message>(&action))
+      (void)encode_datagrams(context(), message->body, 1);
+  }
+}
+
+/** A peer's message, and what the cores make of it. */
+void fuzz_peer(const std::string& text) {
+  static const std::string valid = encode(context(), peer_message{});
+  const size_t kind = text.empty() ? 0 : static_cast<uint8_t>(text[0]);
+  const std::string data =
+      enveloped(valid, kind % peer_kinds, text.substr(text.empty() ? 0 : 1));
+  auto decoded = decode_peer_message(context(), data.data(), data.size());
+  if (!decoded)
+    return;
+  fragment_joiner joiner;
+  auto whole = joiner.take(context(), {1, 2}, std::move(decoded.value()));
+  if (!whole.has_value())
+    return;
+  directory_options options;
+  options.peers.name = "self";
+  directory_core directory(options, fixed_random());
+  forwarding_core forwarding({}, fixed_random());
+  pass_on(directory.start(some_time), &forwarding);
+  pass_on(directory.on_peer(some_time, *whole), &forwarding);
+  pass_on(directory.tick(some_time + us_per_s), &forwarding);
+}
+
+/** An answer of the registry, and what a directory core makes of it. */
+void fuzz_reply(const std::string& text) {
+  registry_call call;
+  call.id = 1;
+  const auto choice = text.empty() ? 0U : static_cast<uint8_t>(text[0]);
+  call.kind = static_cast<directory_kind>(choice % directory_kinds);
+  call.op = (choice & 0x80U) != 0 ? registry_op::watch : registry_op::list;
+  const auto reply = platform::read_reply(
+      call, 200, text.substr(std::min<size_t>(1, text.size())), some_time);
+  directory_core directory({}, fixed_random());
+  forwarding_core forwarding({}, fixed_random());
+  for (const auto& action : directory.start(some_time)) {
+    const auto* started = std::get_if<registry_call>(&action);
+    if (started == nullptr || started->kind != call.kind)
+      continue;
+    registry_reply own = reply;
+    own.id = started->id;
+    pass_on(directory.on_reply(some_time, own), &forwarding);
+  }
+}
+
+/** A packet at the port that anybody reaches. */
+void fuzz_segment(const std::string& text) {
+  const auto* data = reinterpret_cast<const uint8_t*>(text.data());
+  const auto s = platform::read_segment(data, text.size());
+  if (!s.has_value())
+    return;
+  forwarding_core forwarding({}, fixed_random());
+  forwarding.table(some_time,
+                   std::make_shared<const forwarding_table>(table_input{}));
+  (void)forwarding.on_segment(some_time, *s);
+  forwarding.tick(some_time + us_per_s);
+  (void)platform::make_reset(*s);
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   if (size == 0)
     return 0;
   const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 6) {
+  switch (data[0] % 9) {
     case 0:
       fuzz_packet(text);
       break;
@@ -63,6 +144,15 @@
     case 4:
       (void)parse_account(text, "f").has_value();
       break;
+    case 5:
+      fuzz_peer(text);
+      break;
+    case 6:
+      fuzz_reply(text);
+      break;
+    case 7:
+      fuzz_segment(text);
+      break;
     default:
       (void)snapshot_index_from_json(text).has_value();
       break;
