--- a/bench/bench_directory.cpp
+++ b/bench/bench_directory.cpp
@@ -6,6 +6,7 @@
  */
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <ctime>
 
 #include "emu_world.h"
@@ -30,6 +31,7 @@
 struct fleet_row {
   size_t balancers = 0;
   double bytes_per_s = 0;
+  double busiest_bytes_per_s = 0;
   double messages_per_s = 0;
   double calls_per_s = 0;
   double core_percent = 0;
@@ -52,9 +54,11 @@
     options.events.push_back({emu_trouble::configure, us_per_s / changes * i, 0,
                               static_cast<uint64_t>(i)});
   }
-  options.observe = [&](const peer_message& message) {
+  std::vector<uint64_t> sent(balancers);
+  options.observe = [&](size_t from, const peer_message& message) {
     for (const auto& data : encode_datagrams(context, message, 1)) {
       bytes += data.size() + header_bytes;
+      sent[from] += data.size() + header_bytes;
       unreadable +=
           decode_peer_message(context, data.data(), data.size()) ? 0 : 1;
     }
@@ -66,7 +70,10 @@
     fmt::print(stderr, "{} messages were unreadable\n", unreadable);
   const double seconds = static_cast<double>(options.length) / us_per_s;
   const auto count = static_cast<double>(balancers);
-  return {balancers, static_cast<double>(bytes) / seconds / count,
+  const auto most = *std::max_element(sent.begin(), sent.end());
+  return {balancers,
+          static_cast<double>(bytes) / seconds / count,
+          static_cast<double>(most) / seconds,
           static_cast<double>(report.peer_messages) / seconds / count,
           static_cast<double>(report.registry_calls) / seconds,
           100 * (cpu_seconds() - before) / seconds / count};
@@ -109,16 +116,17 @@
 
 int main_of() {
   fmt::print(
-      "| balancers | changes/s | bytes/s each | messages/s each | store "
+      "| balancers | changes/s | bytes/s each | bytes/s of the busiest | "
+      "messages/s each | store "
       "calls/s "
-      "| core % each |\n| --- | --- | --- | --- | --- | --- |\n");
+      "| core % each |\n| --- | --- | --- | --- | --- | --- | --- |\n");
   double last = 0;
   for (const int changes : {0, 1}) {
     for (const size_t balancers : fleets) {
       const fleet_row r = measure_fleet(balancers, changes);
-      fmt::print("| {} | {} | {:.0f} | {:.1f} | {:.1f} | {:.3f} |\n",
-                 r.balancers, changes, r.bytes_per_s, r.messages_per_s,
-                 r.calls_per_s, r.core_percent);
+      fmt::print("| {} | {} | {:.0f} | {:.0f} | {:.1f} | {:.1f} | {:.3f} |\n",
+                 r.balancers, changes, r.bytes_per_s, r.busiest_bytes_per_s,
+                 r.messages_per_s, r.calls_per_s, r.core_percent);
       last = r.bytes_per_s;
     }
   }
--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -166,11 +166,12 @@
     uint64_t call = 0;  ///< In flight; 0 if none.
     registry_op op = registry_op::list;
     bool must_list = true;
+    bool brief = false;  ///< The call in flight only asks what has changed.
     time_us next_call = 0;
     time_us asked = 0;  ///< When a peer was last asked for all of it; 0: never.
     uint32_t failures = 0;
     bool lost = false;  ///< The registry did not answer the last call.
-    duty_reason duty = duty_reason::small_zone;
+    duty_reason duty = duty_reason::small_group;
     uint64_t list_revision = 0;
     std::vector<directory_change> listed;  ///< Pages so far.
   };
@@ -203,7 +204,7 @@
                          const std::vector<belief_change>& changes,
                          actions* out);
   void refresh(time_us now, const std::string& cause, actions* out);
-  void list_again(time_us now, directory_kind kind, actions* out);
+  void read_again(time_us now, directory_kind kind, actions* out);
   void publish(time_us now, actions* out);
   std::vector<uint64_t> zone_ids(time_us now) const;
   table_input make_input() const;
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -23,8 +23,12 @@
   /** Between two rounds once a round no longer reaches the whole zone, for the
    * bound on control traffic. */
   time_us large_interval = 500 * us_per_ms;
-  size_t own_zone_fanout = 3;    ///< Heartbeats a round within the zone.
-  size_t other_zone_fanout = 2;  ///< Heartbeats a round to other zones.
+  size_t group_fanout = 3;  ///< Heartbeats a round within the group.
+  size_t other_fanout = 2;  ///< Heartbeats a round to all others.
+  /** Balancers of a zone that make one group. Those of a larger zone are halved
+   * by their names until a group is no larger, so that what the watching ones
+   * of a group send does not grow with the fleet. */
+  size_t group_size = 48;
   /** A zone from which no peer was heard for this long counts as silent;
    * longer if its heartbeats are expected less often. */
   time_us silent_zone_time = 1500 * us_per_ms;
@@ -47,6 +51,7 @@
 struct known_peer {
   peer_hello hello;   ///< The last one; without a name if none came.
   time_us heard = 0;  ///< When it came.
+  uint64_t id = 0;    ///< Its hashed name.
   time_us added = 0;
   time_us tried = 0;  ///< Last try while nothing has been heard of it.
   std::array<time_us, directory_kinds> behind_since{};  ///< 0 if it is not.
@@ -75,12 +80,15 @@
   hello_news on_hello(time_us now, const peer_hello& hello);
 
   /** @return The addresses for the next round, in turn.
-   * @param whole_zone Whether all known peers of the zone are among them. */
-  std::vector<endpoint> next_round(time_us now, bool whole_zone);
+   * @param whole_group Whether all known peers of the group are among them. */
+  std::vector<endpoint> next_round(time_us now, bool whole_group);
 
   /** @return The time between rounds. */
   time_us interval() const;
 
+  /** @return The live peers of the own group that are not leaving. */
+  std::vector<const known_peer*> alive_in_group(time_us now) const;
+
   /** @return The live peers of the own zone that are not leaving. */
   std::vector<const known_peer*> alive_in_zone(time_us now) const;
 
@@ -106,7 +114,7 @@
   bool alive(time_us now, const known_peer& peer) const;
 
   /** @return The number of peers heard of so far. */
-  size_t heard() const { return own_zone_ + other_zone_; }
+  size_t heard() const { return heard_; }
 
   /** @return The peer at @p address, or null. */
   known_peer* find(endpoint address);
@@ -115,6 +123,8 @@
 
  private:
   void forget_silent(time_us now);
+  bool in_group(const known_peer& peer) const;
+  time_us alive_window(const known_peer& peer) const;
   void update_sizes();
   void take_turns(std::vector<endpoint> from,
                   size_t count,
@@ -123,9 +133,12 @@
 
   peer_options options_;
   std::map<endpoint, known_peer> peers_;
-  size_t own_zone_ = 0;    ///< Known peers of the zone.
-  size_t other_zone_ = 0;  ///< Known peers of other zones.
-  size_t own_turn_ = 0;
+  uint64_t own_id_ = 0;
+  size_t heard_ = 0;         ///< Peers heard of.
+  size_t zone_ = 0;          ///< Those of the own zone.
+  size_t group_ = 0;         ///< Those of the own group.
+  uint64_t group_mask_ = 0;  ///< Bits of the names that tell groups apart.
+  size_t group_turn_ = 0;
   size_t other_turn_ = 0;
   size_t share_turn_ = 0;
 };
--- a/packages/coordination/include/turmeric/coordination/watch_duty_base.h
+++ b/packages/coordination/include/turmeric/coordination/watch_duty_base.h
@@ -1,10 +1,10 @@
-/** @file watch_duty_base.h Decides which balancers of a zone watch the
+/** @file watch_duty_base.h Decides which balancers of a group watch the
  * registry.
  *
  * Calls to the registry are limited and must not grow with the fleet. In a
- * small zone all balancers watch. In a large one a few do, chosen by rendezvous
- * hash for each kind, and send the others what changed. The others step in,
- * one after the other, when no watching balancer has been heard for a while.
+ * small group all balancers watch. In a large one a few do, chosen by
+ * rendezvous hash, and send the others what changed. The others step in, one
+ * after the other, when no watching balancer has been heard for a while.
  */
 #ifndef TURMERIC_COORDINATION_WATCH_DUTY_BASE_H_
 #define TURMERIC_COORDINATION_WATCH_DUTY_BASE_H_
@@ -15,9 +15,9 @@
 
 /** Sizes and times of the duty. */
 struct watch_duty_options {
-  /** Balancers of a zone up to which all watch. */
+  /** Balancers of a group up to which all watch. */
   size_t all_watch = 4;
-  /** Balancers that watch in a larger zone; one may fail unnoticed. */
+  /** Balancers that watch in a larger group; one may fail unnoticed. */
   size_t watchers = 2;
   /** Others step in when no watching balancer was heard for this long: twice
    * the interval of their heartbeats and some delay. */
@@ -31,25 +31,24 @@
 };
 
 /** Whether this balancer is to watch, and why. */
-enum class duty_reason : uint8_t { small_zone, chosen, stepped_in, served };
+enum class duty_reason : uint8_t { small_group, chosen, stepped_in, served };
 
 /** The decision for one balancer. */
 class watch_duty {
  public:
-  watch_duty(watch_duty_options options, std::string name, std::string zone);
+  watch_duty(watch_duty_options options, std::string name);
 
   /** @return Whether and why this balancer watches @p kind. Anything but
    * `served` means that it does. */
   duty_reason decide(time_us now, directory_kind kind, const peer_table& peers);
 
-  /** @return Whether the zone has balancers that rely on others. */
-  bool zone_is_large(time_us now, const peer_table& peers) const;
+  /** @return Whether the group has balancers that rely on others. */
+  bool group_is_large(time_us now, const peer_table& peers) const;
 
  private:
   watch_duty_options options_;
   std::string name_;
-  std::string zone_;
-  /** When a watching balancer of the zone was last heard. */
+  /** When a watching balancer of the group was last heard. */
   std::array<time_us, directory_kinds> served_{};
 };
 
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -25,7 +25,7 @@
     : options_(std::move(options)),
       random_(std::move(random)),
       peers_(options_.peers),
-      duty_(options_.duty, options_.peers.name, options_.peers.zone),
+      duty_(options_.duty, options_.peers.name),
       followers_(directory_kinds, follower(options_.keep_removed)) {}
 
 directory_core::actions directory_core::start(time_us now) {
@@ -91,14 +91,14 @@
   if (f.must_list) {
     call.timeout =
         doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
-  } else if (f.lost) {
+  } else if (f.lost || f.brief) {
     // Without a wait a watch brings what changed meanwhile; a long one on a
     // registry that does not answer would hide its return.
     call.timeout =
         doubled(options_.probe_timeout, f.failures, options_.max_probe_timeout);
   } else {
-    call.wait = duty_.zone_is_large(now, peers_) ? options_.duty_watch_wait
-                                                 : options_.watch_wait;
+    call.wait = duty_.group_is_large(now, peers_) ? options_.duty_watch_wait
+                                                  : options_.watch_wait;
     call.timeout = call.wait + options_.watch_margin;
   }
   f.next_call = now + call.timeout;
@@ -113,6 +113,7 @@
   if (f == nullptr)
     return out;
   f->call = 0;
+  f->brief = false;
   if (reply.status != registry_status::ok) {
     call_failed(now, kind, reply, &out);
     return out;
@@ -141,7 +142,7 @@
 
 bool directory_core::in_contact(directory_kind kind) const {
   const follower& f = followers_[static_cast<size_t>(kind)];
-  return f.op == registry_op::watch && !f.must_list && !f.lost &&
+  return f.op == registry_op::watch && !f.must_list && !f.lost && !f.brief &&
          f.duty != duty_reason::served;
 }
 
@@ -262,7 +263,7 @@
     }
     // A watch on targets hears nothing while none of them changes.
     if (lifted_.size() != before)
-      list_again(now, directory_kind::targets, out);
+      read_again(now, directory_kind::targets, out);
   }
   if (kind == directory_kind::withdrawals) {
     for (const auto& change : changes) {
@@ -282,7 +283,7 @@
   out->push_back(directory_note{"registry asked anew", {{"cause", cause}}});
   for (const directory_kind kind : call_order) {
     if (of(kind).belief.loaded())
-      list_again(now, kind, out);
+      read_again(now, kind, out);
   }
 }
 
@@ -292,11 +293,14 @@
   return out;
 }
 
-void directory_core::list_again(time_us now,
+void directory_core::read_again(time_us now,
                                 directory_kind kind,
                                 actions* out) {
   follower& f = of(kind);
-  f.must_list = true;
+  // What changed is enough, at once and over a new connection; the whole of a
+  // large directory, asked for by all at once, would fill the registry's link.
+  f.brief = f.belief.loaded();
+  f.must_list = !f.brief;
   f.listed.clear();
   start_call(now, kind, out);
 }
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -231,7 +231,7 @@
     // has lost it without having noticed yet, or reads it just now.
     if (relies) {
       since = now;
-      list_again(now, static_cast<directory_kind>(i), out);
+      read_again(now, static_cast<directory_kind>(i), out);
     } else {
       wants |= 1U << i;
     }
@@ -286,9 +286,9 @@
 void directory_core::push_change(time_us now,
                                  directory_kind kind,
                                  actions* out) {
-  if (!duty_.zone_is_large(now, peers_))
+  if (!duty_.group_is_large(now, peers_))
     return;
-  for (const known_peer* live : peers_.alive_in_zone(now)) {
+  for (const known_peer* live : peers_.alive_in_group(now)) {
     if (watches(live->hello, kind))
       continue;
     known_peer* peer = peers_.find(live->hello.address);
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-peer_table::peer_table(peer_options options) : options_(std::move(options)) {}
+peer_table::peer_table(peer_options options)
+    : options_(std::move(options)), own_id_(hash_name(options_.name)) {}
 
 void peer_table::add_contact(time_us now, endpoint address) {
   if (address == options_.address)
@@ -44,8 +45,10 @@
   }
   const bool returned = !last.name.empty() && !alive(now, peer);
   peer.hello = hello;
+  peer.id = hash_name(hello.name);
   peer.heard = now;
-  update_sizes();
+  if (started)
+    update_sizes();
   for (const endpoint& other : hello.peers)
     add_contact(now, other);
   if (started)
@@ -69,31 +72,49 @@
 }
 
 time_us peer_table::interval() const {
-  return own_zone_ > options_.own_zone_fanout ? options_.large_interval
-                                              : options_.interval;
+  return zone_ > options_.group_fanout ? options_.large_interval
+                                       : options_.interval;
 }
 
-bool peer_table::alive(time_us now, const known_peer& peer) const {
-  if (peer.hello.name.empty() || peer.hello.leaving)
-    return false;
-  const bool own = peer.hello.zone == options_.zone;
-  const size_t count = own ? own_zone_ : other_zone_;
-  const size_t fanout =
-      own ? options_.own_zone_fanout : options_.other_zone_fanout;
+bool peer_table::in_group(const known_peer& peer) const {
+  return peer.hello.zone == options_.zone &&
+         ((peer.id ^ own_id_) & group_mask_) == 0;
+}
+
+time_us peer_table::alive_window(const known_peer& peer) const {
+  const bool own = in_group(peer);
+  const size_t count = own ? group_ : heard_ - group_;
+  const size_t fanout = own ? options_.group_fanout : options_.other_fanout;
   const auto rounds = static_cast<time_us>((count + fanout - 1) / fanout);
-  const time_us turns = options_.alive_turns * rounds * interval();
-  return now - peer.heard < std::max(options_.alive_time, turns);
+  return std::max(options_.alive_time,
+                  options_.alive_turns * rounds * interval());
+}
+
+bool peer_table::alive(time_us now, const known_peer& peer) const {
+  return !peer.hello.name.empty() && !peer.hello.leaving &&
+         now - peer.heard < alive_window(peer);
 }
 
 void peer_table::update_sizes() {
-  own_zone_ = static_cast<size_t>(
-      std::count_if(peers_.begin(), peers_.end(), [this](const auto& named) {
-        return named.second.hello.zone == options_.zone;
-      }));
-  const auto named =
-      std::count_if(peers_.begin(), peers_.end(),
-                    [](const auto& p) { return !p.second.hello.name.empty(); });
-  other_zone_ = static_cast<size_t>(named) - own_zone_;
+  heard_ = zone_ = group_ = 0;
+  for (const auto& [address, peer] : peers_) {
+    heard_ += peer.hello.name.empty() ? 0 : 1;
+    zone_ += peer.hello.zone == options_.zone ? 1 : 0;
+  }
+  group_mask_ = 0;
+  for (size_t size = zone_ + 1; size > options_.group_size; size /= 2)
+    group_mask_ = group_mask_ * 2 + 1;
+  for (const auto& [address, peer] : peers_)
+    group_ += in_group(peer) ? 1 : 0;
+}
+
+std::vector<const known_peer*> peer_table::alive_in_group(time_us now) const {
+  std::vector<const known_peer*> out;
+  for (const auto& [address, peer] : peers_) {
+    if (in_group(peer) && alive(now, peer))
+      out.push_back(&peer);
+  }
+  return out;
 }
 
 std::vector<const known_peer*> peer_table::alive_in_zone(time_us now) const {
@@ -108,8 +129,8 @@
 void peer_table::forget_silent(time_us now) {
   for (auto it = peers_.begin(); it != peers_.end();) {
     const known_peer& peer = it->second;
-    const bool silent =
-        now - std::max(peer.heard, peer.added) >= options_.forget_time;
+    const bool silent = now - std::max(peer.heard, peer.added) >=
+                        std::max(options_.forget_time, alive_window(peer));
     it = silent ? peers_.erase(it) : std::next(it);
   }
   update_sizes();
@@ -129,18 +150,18 @@
   return out;
 }
 
-std::vector<endpoint> peer_table::next_round(time_us now, bool whole_zone) {
+std::vector<endpoint> peer_table::next_round(time_us now, bool whole_group) {
   forget_silent(now);
-  std::vector<endpoint> own;
-  std::vector<endpoint> other;
+  std::vector<endpoint> group;
+  std::vector<endpoint> others;
   for (const auto& [address, peer] : peers_) {
     if (!peer.hello.name.empty())
-      (peer.hello.zone == options_.zone ? own : other).push_back(address);
+      (in_group(peer) ? group : others).push_back(address);
   }
   std::vector<endpoint> out = due_contacts(now);
-  take_turns(own, whole_zone ? own.size() : options_.own_zone_fanout,
-             &own_turn_, &out);
-  take_turns(other, options_.other_zone_fanout, &other_turn_, &out);
+  take_turns(group, whole_group ? group.size() : options_.group_fanout,
+             &group_turn_, &out);
+  take_turns(others, options_.other_fanout, &other_turn_, &out);
   return out;
 }
 
@@ -161,10 +182,10 @@
   for (const auto& [name, zone] : zones) {
     if (zone.peers == 0)
       continue;
-    // Each of its peers takes turns among all that are in other zones.
+    // Each of its peers takes turns among all that are in other groups.
     const time_us expected =
-        interval() * static_cast<time_us>(other_zone_ + own_zone_ + 1) /
-        static_cast<time_us>(zone.peers * options_.other_zone_fanout);
+        interval() * static_cast<time_us>(heard_ + 1) /
+        static_cast<time_us>(zone.peers * options_.other_fanout);
     if (now - zone.heard >=
         std::max(options_.silent_zone_time, options_.alive_turns * expected))
       out.insert(name);
@@ -206,7 +227,7 @@
   std::vector<uint64_t> out;
   for (const auto& [address, peer] : peers_) {
     if (alive(now, peer))
-      out.push_back(hash_name(peer.hello.name));
+      out.push_back(peer.id);
   }
   return out;
 }
--- a/packages/coordination/src/watch_duty.cpp
+++ b/packages/coordination/src/watch_duty.cpp
@@ -1,28 +1,28 @@
-/** @file watch_duty.cpp Ranks of a zone's balancers for the watches. */
+/** @file watch_duty.cpp Ranks of a group's balancers for the watches. */
 #include "turmeric/coordination/watch_duty_base.h"
 
 #include <algorithm>
 
 namespace turmeric {
 
-watch_duty::watch_duty(watch_duty_options options,
-                       std::string name,
-                       std::string zone)
-    : options_(options), name_(std::move(name)), zone_(std::move(zone)) {}
+watch_duty::watch_duty(watch_duty_options options, std::string name)
+    : options_(options), name_(std::move(name)) {}
 
-bool watch_duty::zone_is_large(time_us now, const peer_table& peers) const {
-  return peers.alive_in_zone(now).size() + 1 > options_.all_watch;
+bool watch_duty::group_is_large(time_us now, const peer_table& peers) const {
+  return peers.alive_in_group(now).size() + 1 > options_.all_watch;
 }
 
 duty_reason watch_duty::decide(time_us now,
                                directory_kind kind,
                                const peer_table& peers) {
-  const auto others = peers.alive_in_zone(now);
+  const auto others = peers.alive_in_group(now);
   if (others.size() + 1 <= options_.all_watch)
-    return duty_reason::small_zone;
+    return duty_reason::small_group;
   const auto index = static_cast<size_t>(kind);
-  const auto weight = [&](const std::string& name) {
-    return hash_pair(hash_name(name), index);
+  // The same ones watch all kinds: each of them sends heartbeats to the whole
+  // group, and only targets change often.
+  const auto weight = [](const std::string& name) {
+    return hash_pair(hash_name(name), 0);
   };
   const uint64_t own = weight(name_);
   size_t rank = 0;
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -130,8 +130,8 @@
   std::vector<emu_event> events;
   emu_plant plant = emu_plant::none;
   std::string follow;  ///< Target whose openings are reported; or empty.
-  /** Sees every message between balancers. */
-  std::function<void(const peer_message&)> observe;
+  /** Sees every message between balancers, and its sender's number. */
+  std::function<void(size_t from, const peer_message&)> observe;
   /** Makes the placement hook of a balancer; null for the product's choice. */
   std::function<placement_hook(size_t balancer)> placement;
 };
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -275,7 +275,7 @@
   if (started()) {
     ++report_.peer_messages;
     if (options_.observe)
-      options_.observe(message.body);
+      options_.observe(b->number, message.body);
   }
   for (const auto& other : balancers_) {
     balancer* to = other.get();
--- a/tests/unit/directory_fixture.h
+++ b/tests/unit/directory_fixture.h
@@ -68,6 +68,12 @@
   return routing;
 }
 
+/** @return Whether @p call asks for what changed since what is known, and for
+ * an answer at once. */
+inline bool asks_at_once(const registry_call& call) {
+  return call.op == registry_op::watch && call.wait == 0 && call.revision != 0;
+}
+
 /** A directory core with its open calls and its newest table. */
 struct follower_fixture {
   explicit follower_fixture(directory_options options = options_of("front-1",
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -112,7 +112,7 @@
 // A zone that is taken back may have cold targets: its entry is not enough,
 // the targets must be known at that revision too.
 // Without any change of a target its watch would answer after its wait only,
-// so the targets are listed at once.
+// so the targets are asked for at once.
 BOOST_AUTO_TEST_CASE(zone_taken_back_waits_for_its_targets) {
   follower_fixture f;
   f.load();
@@ -123,7 +123,7 @@
   f.reply(directory_kind::withdrawals, 30, {removal("north", 30)});
   BOOST_TEST(f.openings() == 0u);
   BOOST_TEST(f.call(directory_kind::targets).id != watch);
-  BOOST_TEST((f.call(directory_kind::targets).op == registry_op::list));
+  BOOST_TEST(asks_at_once(f.call(directory_kind::targets)));
   f.reply(directory_kind::targets, 30, {entry("i-1", 3, make_target("i-1"))});
   BOOST_TEST(f.openings() == 1u);
 }
@@ -137,7 +137,7 @@
   f.reply(directory_kind::withdrawals, 20,
           {entry("north", 20, withdrawal_entry{"north"})});
   f.reply(directory_kind::withdrawals, 30, {removal("north", 30)});
-  f.reply(directory_kind::targets, 31, {});
+  f.reply(directory_kind::targets, 31, {removal("i-1", 25)});
   BOOST_TEST(f.openings() == 0u);
   f.reply(directory_kind::targets, 40, {entry("i-1", 40, make_target("i-1"))});
   BOOST_TEST(f.openings() == 1u);
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -175,7 +175,7 @@
           hello.watching = row.watching ? 1 : 0;
           peers.on_hello(start, hello);
         }
-        watch_duty duty({}, options.name, options.zone);
+        watch_duty duty({}, options.name);
         duty.decide(start, directory_kind::targets, peers);
         const auto reason =
             duty.decide(start + row.silence, directory_kind::targets, peers);
@@ -324,7 +324,8 @@
       f.now += directory_options().push_patience;
       f.take(f.core.on_peer(f.now, ahead));
     }
-    BOOST_TEST((f.call(directory_kind::routing).op == registry_op::list));
+    BOOST_TEST(f.call(directory_kind::routing).id != watch);
+    BOOST_TEST(asks_at_once(f.call(directory_kind::routing)));
   }
   BOOST_TEST(relying >= 4);
 }
