--- a/packages/coordination/include/turmeric/coordination/directory_belief_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_belief_base.h
@@ -5,7 +5,9 @@
 #define TURMERIC_COORDINATION_DIRECTORY_BELIEF_BASE_H_
 
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "turmeric/state/peer_message_type.h"
@@ -58,6 +60,10 @@
   /** Forgets entries that were removed long ago. */
   void forget_removed(time_us now);
 
+  /** @return The names of entries that changed, or were removed, after
+   * @p revision, oldest first. */
+  std::vector<std::string> changed_since(uint64_t revision) const;
+
   /** @return The oldest revision from which all removals are still known. */
   uint64_t complete_since() const { return complete_since_; }
 
@@ -76,11 +82,16 @@
               uint64_t revision,
               std::vector<belief_change>* out);
   void advance(uint64_t revision);
+  /** Takes an entry into the digest and the order of changes, or out of it. */
+  void count(const std::string& name, const believed_entry& entry);
+  void discount(const std::string& name, const believed_entry& entry);
 
   time_us keep_removed_;
   directory_mark mark_;
   uint64_t complete_since_ = 0;
   std::map<std::string, believed_entry> entries_;
+  /** All entries by the revision of their last change. */
+  std::set<std::pair<uint64_t, std::string>> by_revision_;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/directory_belief.cpp
+++ b/packages/coordination/src/directory_belief.cpp
@@ -5,6 +5,36 @@
 #include <set>
 
 namespace turmeric {
+namespace {
+
+uint64_t last_change(const believed_entry& entry) {
+  return entry.registered ? entry.revision : entry.removed_revision;
+}
+
+}  // namespace
+
+void directory_belief::count(const std::string& name,
+                             const believed_entry& entry) {
+  by_revision_.emplace(last_change(entry), name);
+  if (entry.usable())
+    mark_.digest ^= hash_pair(hash_name(name), entry.revision);
+}
+
+void directory_belief::discount(const std::string& name,
+                                const believed_entry& entry) {
+  by_revision_.erase({last_change(entry), name});
+  if (entry.usable())
+    mark_.digest ^= hash_pair(hash_name(name), entry.revision);
+}
+
+std::vector<std::string> directory_belief::changed_since(
+    uint64_t revision) const {
+  std::vector<std::string> out;
+  for (auto it = by_revision_.lower_bound({revision + 1, ""});
+       it != by_revision_.end(); ++it)
+    out.push_back(it->second);
+  return out;
+}
 
 void directory_belief::put(time_us now,
                            const directory_change& change,
@@ -17,12 +47,15 @@
   if (it != entries_.end() && it->second.registered &&
       it->second.revision >= change.revision)
     return;
+  if (it != entries_.end())
+    discount(change.name, it->second);
   believed_entry& entry = entries_[change.name];
   entry.revision = change.revision;
   entry.registered = true;
   entry.problem = change.problem;
   if (change.value != nullptr)
     entry.value = change.value;
+  count(change.name, entry);
   out->push_back({change.name, change.revision, false, change.problem});
 }
 
@@ -34,9 +67,11 @@
   if (it == entries_.end() || !it->second.registered ||
       it->second.revision > revision)
     return;
+  discount(name, it->second);
   it->second.registered = false;
   it->second.removed = now;
   it->second.removed_revision = revision;
+  count(name, it->second);
   out->push_back({name, revision, true, ""});
 }
 
@@ -44,11 +79,6 @@
   if (mark_.revision == 0)
     complete_since_ = revision;
   mark_.revision = revision;
-  mark_.digest = 0;
-  for (const auto& [name, entry] : entries_) {
-    if (entry.usable())
-      mark_.digest ^= hash_pair(hash_name(name), entry.revision);
-  }
 }
 
 std::vector<belief_change> directory_belief::apply(
@@ -92,6 +122,7 @@
       continue;
     }
     complete_since_ = std::max(complete_since_, entry.removed_revision);
+    discount(it->first, entry);
     it = entries_.erase(it);
   }
 }
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -292,15 +292,19 @@
                                  actions* out) {
   if (!duty_.group_is_large(now, peers_))
     return;
+  const auto index = static_cast<size_t>(kind);
   for (const known_peer* live : peers_.alive_in_group(now)) {
     if (watches(live->hello, kind))
       continue;
-    known_peer* peer = peers_.find(live->hello.address);
-    if (!is_small(directory_for(now, kind, peer->hello)))
+    peer_directory directory = directory_for(now, kind, live->hello);
+    if (!is_small(directory))
       continue;
-    push_kind(now, kind, peer, out);
+    known_peer* peer = peers_.find(live->hello.address);
+    peer->pushed[index] = now;
     // Its next heartbeat tells whether this arrived.
-    peer->hello.marks[static_cast<size_t>(kind)] = belief(kind).mark();
+    peer->hello.marks[index] = belief(kind).mark();
+    out->push_back(
+        send_peer_message{peer->hello.address, std::move(directory)});
   }
 }
 
@@ -314,15 +318,13 @@
   out.kind = kind;
   out.revision = known.mark().revision;
   out.from_revision = theirs >= known.complete_since() ? theirs : 0;
-  for (const auto& [name, entry] : known.entries()) {
-    if (!entry.registered) {
-      if (out.from_revision != 0 && entry.removed_revision > theirs) {
-        out.removed_names.push_back(name);
-        out.removed_revisions.push_back(entry.removed_revision);
-      }
-      continue;
+  for (const std::string& name : known.changed_since(out.from_revision)) {
+    const believed_entry& entry = known.entries().at(name);
+    if (!entry.registered && out.from_revision != 0) {
+      out.removed_names.push_back(name);
+      out.removed_revisions.push_back(entry.removed_revision);
     }
-    if (!entry.usable() || entry.revision <= out.from_revision)
+    if (!entry.usable())
       continue;
     out.names.push_back(name);
     out.revisions.push_back(entry.revision);
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -143,6 +143,30 @@
   BOOST_TEST(f.openings() == 1u);
 }
 
+// The digest is kept up to date with each change; two balancers that came to
+// the same state in different ways must not take each other for different.
+BOOST_AUTO_TEST_CASE(digests_depend_on_the_state_alone) {
+  directory_belief by_watch(us_per_s);
+  by_watch.replace(0, 10, {entry("a", 3, make_target("a"))});
+  by_watch.apply(0, 20, {entry("b", 15, make_target("b")), removal("a", 16)});
+  directory_change broken;
+  broken.name = "c";
+  broken.revision = 21;
+  broken.problem = "unreadable";
+  by_watch.apply(0, 30, {entry("c", 18, make_target("c")), broken});
+  by_watch.apply(0, 40, {entry("a", 35, make_target("a")), removal("b", 36)});
+  directory_belief by_list(us_per_s);
+  by_list.replace(0, 40, {entry("a", 35, make_target("a")), broken});
+  BOOST_TEST(by_watch.mark().digest == by_list.mark().digest);
+  BOOST_TEST(by_watch.mark().digest != 0u);
+  BOOST_TEST(
+      (by_watch.changed_since(20) == std::vector<std::string>{"c", "a", "b"}));
+  by_watch.forget_removed(2 * us_per_s);
+  BOOST_TEST(
+      (by_watch.changed_since(20) == std::vector<std::string>{"c", "a"}));
+  BOOST_TEST(by_watch.mark().digest == by_list.mark().digest);
+}
+
 // Found by the emulator (seed 1177): after the store had been silent, watches
 // on it were tried with their long time limit, and a balancer learnt 3 s late.
 BOOST_AUTO_TEST_CASE(lost_registry_is_tried_with_short_limits) {
