--- a/apps/turmericstream/forwarder_cli.cpp
+++ b/apps/turmericstream/forwarder_cli.cpp
@@ -2,7 +2,11 @@
 #include <fmt/format.h>
 #include <httplib.h>
 
+#include <charconv>
+#include <thread>
+
 #include "cli_base.h"
+#include "turmeric/coordination/burn_func.h"
 #include "turmeric/state/json_func.h"
 #include "turmeric/state/metric_type.h"
 #include "turmeric/state/service_type.h"
@@ -13,6 +17,10 @@
 constexpr int connect_timeout_s = 2;
 constexpr int read_timeout_s = 5;
 constexpr int http_ok = 200;
+constexpr int default_window_s = 10;
+constexpr int longest_window_s = 3600;
+/** Burn rate that pages somebody, as of an hour's window; see burn.cpp. */
+constexpr double page_burn = 14.4;
 
 /** Gets a page from a balancer's metrics address. */
 result<std::string> get_page(const endpoint& balancer,
@@ -63,17 +71,18 @@
 }
 
 void print_targets(const Json::Value& v) {
-  fmt::print("{:<16}{:<14}{:<14}{:<22}{:<8}{:>8}{:>9}{:>9}\n", "target", "zone",
-             "service", "address", "open", "in hand", "failures", "cold ms");
+  fmt::print("{:<16}{:<14}{:<14}{:<22}{:<8}{:>8}{:>9}{:>9}{:>9}\n", "target",
+             "zone", "service", "address", "open", "in hand", "failures",
+             "reported", "cold ms");
   for (const auto& t : v) {
-    fmt::print("{:<16}{:<14}{:<14}{:<22}{:<8}{:>8}{:>9}{:>9}\n",
+    fmt::print("{:<16}{:<14}{:<14}{:<22}{:<8}{:>8}{:>9}{:>9}{:>9}\n",
                t["name"].asString(), t["zone"].asString(),
                t["service"].asString(), t["address"].asString(),
                t["open"].asBool()       ? "yes"
                : t["draining"].asBool() ? "drains"
                                         : "no",
                t["in_hand"].asUInt(), t["failures"].asUInt(),
-               t["cold_left_ms"].asInt64());
+               t["reported"].asUInt(), t["cold_left_ms"].asInt64());
   }
 }
 
@@ -88,6 +97,78 @@
   }
 }
 
+/** Openings of the balancers so far, by what became of them. */
+result<service_slice> counts_of(const std::vector<endpoint>& balancers) {
+  service_slice sum;
+  for (const auto& balancer : balancers) {
+    auto status = get_json(balancer, "/status");
+    if (!status)
+      return boost::outcome_v2::failure(status.error());
+    const Json::Value& v = status.value()["counts"];
+    service_slice one;
+    one.answered = one.interactive = v["answered"].asUInt64();
+    one.refused = v["refused"].asUInt64();
+    one.unknown = v["unanswered"].asUInt64();
+    one.in_time = one.answered - v["slow"].asUInt64();
+    add(&sum, one);
+  }
+  return sum;
+}
+
+service_slice difference(const service_slice& a, const service_slice& b) {
+  // A balancer that was started anew counts from 0 again.
+  const auto less = [](uint64_t x, uint64_t y) { return x > y ? x - y : 0; };
+  service_slice out;
+  out.answered = less(a.answered, b.answered);
+  out.refused = less(a.refused, b.refused);
+  out.unknown = less(a.unknown, b.unknown);
+  out.in_time = less(a.in_time, b.in_time);
+  out.interactive = less(a.interactive, b.interactive);
+  return out;
+}
+
+void print_burn(const char* window, const service_slice& counts) {
+  const service_objective objective;
+  const burn_rates rates = rates_of(counts, objective);
+  const auto word = [](double rate) {
+    return rate >= page_burn ? "page" : rate > 1 ? "ticket" : "none";
+  };
+  fmt::print("{:<12}{:>10}{:>10}{:>12}{:>8}{:>14.2f}{:>9.2f}  {}\n", window,
+             counts.answered, counts.refused, counts.unknown,
+             counts.interactive - counts.in_time, rates.availability,
+             rates.latency, word(std::max(rates.availability, rates.latency)));
+}
+
+/** Burn of all balancers together, since their starts and over a window. */
+result<void> run_burn(const cli_options& options) {
+  int seconds = default_window_s;
+  if (options.arguments.size() > 1) {
+    const std::string& text = options.arguments[1];
+    const auto [end, code] =
+        std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (code != std::errc() || end != text.data() + text.size() ||
+        seconds < 1 || seconds > longest_window_s) {
+      return fail(result_code::usage,
+                  fmt::format("expected: forwarder burn [SECONDS], 1 to {}",
+                              longest_window_s));
+    }
+  }
+  auto before = counts_of(options.balancers);
+  if (!before)
+    return boost::outcome_v2::failure(before.error());
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+  auto after = counts_of(options.balancers);
+  if (!after)
+    return boost::outcome_v2::failure(after.error());
+  fmt::print("{:<12}{:>10}{:>10}{:>12}{:>8}{:>14}{:>9}  {}\n", "window",
+             "answered", "refused", "unanswered", "slow", "availability",
+             "latency", "alarm");
+  print_burn("since start", after.value());
+  print_burn(fmt::format("last {} s", seconds).c_str(),
+             difference(after.value(), before.value()));
+  return boost::outcome_v2::success();
+}
+
 /** A page of `forwarder`. */
 struct page_row {
   std::string_view name;
@@ -109,6 +190,8 @@
 result<void> run_forwarder_pages(const cli_options& options) {
   const std::string wanted =
       options.arguments.empty() ? "" : options.arguments[0];
+  if (wanted == "burn")
+    return run_burn(options);
   for (const auto& page : pages()) {
     if (page.name != wanted)
       continue;
@@ -132,7 +215,7 @@
     return boost::outcome_v2::success();
   }
   return fail(result_code::usage,
-              "expected: forwarder status, targets or flows IP:PORT");
+              "expected: forwarder status, targets, burn or flows IP:PORT");
 }
 
 result<void> run_metrics_page(const cli_options&) {
--- a/packages/coordination/include/turmeric/coordination/burn_func.h
+++ b/packages/coordination/include/turmeric/coordination/burn_func.h
@@ -59,6 +59,10 @@
   std::vector<double> recent;  ///< Availability burn, oldest first, 5 min each.
 };
 
+/** Works out the burn rates of one window's counts. */
+burn_rates rates_of(const service_slice& counts,
+                    const service_objective& objective);
+
 /** Works out the burn of one service in one zone. */
 burn_result burn_of(const burn_input& input);
 
--- a/packages/coordination/src/burn.cpp
+++ b/packages/coordination/src/burn.cpp
@@ -58,16 +58,12 @@
   return rate(c.interactive - c.in_time, c.interactive, o.latency_share);
 }
 
-burn_rates rates_of(const burn_input& input, burn_window window) {
+burn_rates window_rates(const burn_input& input, burn_window window) {
   const time_us length = length_of(window);
   const bool fine = length <= fine_slice * fine_slices_kept;
   const aged_slices& slices = fine ? input.fine : input.coarse;
   const time_us slice = fine ? fine_slice : coarse_slice;
-  burn_rates out;
-  out.counts = sum_between(slices, 0, length / slice);
-  out.availability = availability_burn(out.counts, input.objective);
-  out.latency = latency_burn(out.counts, input.objective);
-  return out;
+  return rates_of(sum_between(slices, 0, length / slice), input.objective);
 }
 
 double worst(const burn_rates& rates) {
@@ -76,6 +72,15 @@
 
 }  // namespace
 
+burn_rates rates_of(const service_slice& counts,
+                    const service_objective& objective) {
+  burn_rates out;
+  out.counts = counts;
+  out.availability = availability_burn(counts, objective);
+  out.latency = latency_burn(counts, objective);
+  return out;
+}
+
 time_us length_of(burn_window window) {
   return lengths[static_cast<size_t>(window)];
 }
@@ -91,7 +96,7 @@
 burn_result burn_of(const burn_input& input) {
   burn_result out;
   for (size_t i = 0; i < burn_window_count; ++i)
-    out.windows[i] = rates_of(input, static_cast<burn_window>(i));
+    out.windows[i] = window_rates(input, static_cast<burn_window>(i));
   out.budget_left = 1.0 - worst(out.windows.back());
   for (const auto& rule : rules) {
     const double longer = worst(out.windows[static_cast<size_t>(rule.longer)]);
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -11,6 +11,10 @@
 namespace turmeric {
 namespace {
 
+/** An opening answered later than this is slow: the usual time is some
+ * milliseconds, and callers repeat theirs after 200. */
+constexpr double slow_answer_ms = 100.0;
+
 std::vector<metric_label> labels_of(const target_view& target) {
   return {{"target", target.name},
           {"zone", target.zone},
@@ -61,6 +65,28 @@
   out->add(metric::answer_time, sum, {}, "_count");
 }
 
+/** Counts of openings and their answers, from which burn is worked out. */
+Json::Value flow_counts_json(const segment_view& view) {
+  const auto reason = [&](forwarding_reason r) {
+    return static_cast<Json::UInt64>(
+        view.counters.reasons[static_cast<size_t>(r)]);
+  };
+  Json::Value v;
+  v["opened"] = reason(forwarding_reason::opened);
+  v["refused"] = reason(forwarding_reason::no_target);
+  v["unanswered"] = static_cast<Json::UInt64>(view.counters.unanswered);
+  double answered = 0;
+  double slow = 0;
+  const auto& axis = view.answer_times.axis(0);
+  for (int i = -1; i <= axis.size(); ++i) {
+    answered += view.answer_times.at(i);
+    slow += axis.value(i + 1) > slow_answer_ms ? view.answer_times.at(i) : 0;
+  }
+  v["answered"] = static_cast<Json::UInt64>(answered);
+  v["slow"] = static_cast<Json::UInt64>(slow);
+  return v;
+}
+
 Json::Value target_json(const target_view& t) {
   Json::Value v;
   v["name"] = t.name;
@@ -128,6 +154,7 @@
   }
   v["targets"] = static_cast<Json::UInt64>(view.targets.size());
   v["flows"] = static_cast<Json::UInt64>(view.flows);
+  v["counts"] = flow_counts_json(view);
   return json_text(v);
 }
 
--- a/tests/unit/burn_test.cpp
+++ b/tests/unit/burn_test.cpp
@@ -60,6 +60,21 @@
   BOOST_TEST(burn.budget_left > -0.01);
 }
 
+BOOST_AUTO_TEST_CASE(counts_of_one_window_give_rates) {
+  service_objective objective;
+  objective.availability = 0.99;
+  objective.latency_share = 0.9;
+  service_slice counts;
+  counts.answered = counts.interactive = 980;
+  counts.refused = 15;
+  counts.unknown = 5;
+  counts.in_time = 931;
+  const burn_rates rates = rates_of(counts, objective);
+  BOOST_TEST(rates.availability == 2.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(rates.latency == 0.5, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(rates_of({}, objective).availability == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(imbalance_is_max_over_mean) {
   BOOST_TEST(imbalance_of({}) == 0.0);
   BOOST_TEST(imbalance_of({5, 5}) == 1.0);
