--- /dev/null
+++ b/tests/emulator/emu_recovery.cpp
@@ -0,0 +1,83 @@
+/** @file emu_recovery.cpp How fast service comes back after a trouble. */
+#include "emu_recovery.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "emu_plan.h"
+#include "emu_world.h"
+
+namespace turmeric::tests {
+namespace {
+
+constexpr time_us tenth = us_per_s / 10;
+/** Half a second, so that one late request does not decide. */
+constexpr size_t window = 5;
+constexpr size_t before = 20;  ///< Tenths that give the earlier share.
+constexpr double recovered = 0.9;
+/** The users' bound on service after an outage of all. */
+constexpr time_us longest = 2 * us_per_s;
+
+/** @return The share in time of the requests of @p count tenths. */
+double share(const emu_report& report, size_t first, size_t count) {
+  uint64_t asked = 0;
+  uint64_t served = 0;
+  for (size_t i = first; i < first + count && i < report.tenths.size(); ++i) {
+    asked += report.tenths[i].first;
+    served += report.tenths[i].second;
+  }
+  return asked == 0 ? 1.0
+                    : static_cast<double>(served) / static_cast<double>(asked);
+}
+
+}  // namespace
+
+emu_recovery recovery_of(const emu_report& report, const emu_event& event) {
+  const auto begin = static_cast<size_t>(event.at / tenth);
+  const auto end = static_cast<size_t>((event.at + event.length) / tenth);
+  const double bound =
+      recovered * share(report, begin < before ? 0 : begin - before, before);
+  emu_recovery out;
+  size_t at = end;
+  while (at + window < report.tenths.size() &&
+         share(report, at, window) < bound)
+    ++at;
+  for (size_t i = begin; i <= at; ++i)
+    out.least = std::min(out.least, share(report, i, window));
+  out.after = at + window < report.tenths.size()
+                  ? static_cast<time_us>(at - end) * tenth
+                  : -1;
+  return out;
+}
+
+bool print_recoveries(uint64_t seed, uint64_t runs) {
+  fmt::print(
+      "| trouble | runs | least share in half a second, median and worst | "
+      "ms to nine tenths, median and worst | never |\n"
+      "| --- | --- | --- | --- | --- |\n");
+  bool good = true;
+  for (int i = 0; i < static_cast<int>(emu_trouble::end); ++i) {
+    const auto trouble = static_cast<emu_trouble>(i);
+    std::vector<double> least;
+    std::vector<time_us> after;
+    uint64_t never = 0;
+    for (uint64_t run = 0; run < runs; ++run) {
+      const emu_options options = single_run(seed + run, trouble);
+      emu_world world(options);
+      const emu_recovery r = recovery_of(world.run(), options.events.front());
+      least.push_back(r.least);
+      never += r.after < 0 ? 1 : 0;
+      after.push_back(std::max<time_us>(r.after, 0));
+    }
+    std::sort(least.begin(), least.end());
+    std::sort(after.begin(), after.end());
+    good = good && never == 0 && after.back() <= longest;
+    fmt::print("| {} | {} | {:.2f} {:.2f} | {} {} | {} |\n", name_of(trouble),
+               runs, least[runs / 2], least[0], after[runs / 2] / us_per_ms,
+               after[runs - 1] / us_per_ms, never);
+  }
+  return good;
+}
+
+}  // namespace turmeric::tests
--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -387,11 +387,15 @@
   if (served)
     out.latencies.push_back(took);
   (in_time ? out.in_time : served ? out.late : out.failed) += 1;
-  const auto second = static_cast<size_t>((r->asked - start_) / us_per_s);
-  if (report_.seconds.size() <= second)
-    report_.seconds.resize(second + 1);
-  ++report_.seconds[second].first;
-  report_.seconds[second].second += in_time ? 1 : 0;
+  const auto note = [&](time_us width, auto* bins) {
+    const auto bin = static_cast<size_t>((r->asked - start_) / width);
+    if (bins->size() <= bin)
+      bins->resize(bin + 1);
+    ++(*bins)[bin].first;
+    (*bins)[bin].second += in_time ? 1 : 0;
+  };
+  note(us_per_s, &report_.seconds);
+  note(us_per_s / 10, &report_.tenths);
   for (auto it = flows_.begin(); it != flows_.end();) {
     // Old flows go; requests are numbered in order, and few are open at once.
     if (it->second.number + 20000 > next_number_)
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -167,6 +167,8 @@
   std::vector<std::string> followed;
   /** Requests asked and served in time, by the second they were asked in. */
   std::vector<std::pair<uint64_t, uint64_t>> seconds;
+  /** The same by tenths of a second. */
+  std::vector<std::pair<uint64_t, uint64_t>> tenths;
 };
 
 /** Timing rules of the users' platform. */
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "emu_plan.h"
+#include "emu_recovery.h"
 #include "emu_world.h"
 
 namespace turmeric::tests {
@@ -18,6 +19,7 @@
 constexpr const char* usage_text =
     "Usage: emulate [--seed N] [--runs N] [--troubles N] [--trouble NAME]\n"
     "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
+    "               [--recovery]\n"
     "\n"
     "Plays runs in virtual time, from seed N on, and prints broken promises.\n"
     "The exit code is 1 if there was one.\n"
@@ -29,7 +31,9 @@
     "  -p, --plant NAME    make a fault that must be found\n"
     "  -f, --follow TARGET print what happens to this target\n"
     "  -l, --list          print the names of troubles and plants\n"
-    "  -r, --report        print what callers got\n";
+    "  -r, --report        print what callers got\n"
+    "  -R, --recovery      play each trouble alone and print how fast service\n"
+    "                      comes back\n";
 
 struct command_line {
   uint64_t seed = 1;
@@ -38,6 +42,7 @@
   emu_trouble trouble = emu_trouble::end;
   emu_plant plant = emu_plant::none;
   bool report = false;
+  bool recovery = false;
   std::string follow;
 };
 
@@ -149,10 +154,11 @@
                             {"follow", required_argument, nullptr, 'f'},
                             {"list", no_argument, nullptr, 'l'},
                             {"report", no_argument, nullptr, 'r'},
+                            {"recovery", no_argument, nullptr, 'R'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:f:lrh", options,
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:f:lrRh", options,
                                    nullptr)) != -1;) {
     switch (c) {
       case 's':
@@ -177,6 +183,9 @@
         print_names<emu_trouble>("troubles");
         print_names<emu_plant>("plants");
         return 0;
+      case 'R':
+        line.recovery = true;
+        break;
       case 'r':
         line.report = true;
         break;
@@ -189,6 +198,8 @@
     fmt::print(stderr, "{}", usage_text);
     return 2;
   }
+  if (line.recovery)
+    return print_recoveries(line.seed, line.runs) ? 0 : 1;
   const uint64_t broken = play(line);
   fmt::print("{} of {} runs broke a promise\n", broken, line.runs);
   return broken == 0 ? 0 : 1;
