--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -45,6 +45,12 @@
   time_us ask_patience = 150 * us_per_ms;
   /** Peers that it tries to hear of at once before that. */
   size_t first_contacts = 16;
+  /** In a large fleet, time for which most of a group's balancers wait for the
+   * few that read the registry first; several times a list's length. */
+  time_us first_patience = us_per_s;
+  /** Pages of a list are kept over failed calls for this long, below the time
+   * for which the registry keeps its history. */
+  time_us list_life = 8 * us_per_s;
   /** Known peers above which a fleet is large: its directory, read by all that
    * start at once, would take seconds of the registry's link. */
   size_t large_fleet = 24;
@@ -176,6 +182,7 @@
     bool lost = false;  ///< The registry did not answer the last call.
     duty_reason duty = duty_reason::small_group;
     uint64_t list_revision = 0;
+    time_us list_begun = 0;
     std::vector<directory_change> listed;  ///< Pages so far.
   };
 
@@ -223,6 +230,7 @@
                  directory_kind kind,
                  known_peer* peer,
                  actions* out);
+  void announce(time_us now, actions* out);
   void meet_more(time_us now, actions* out);
   void ask_peers(time_us now, actions* out);
   const known_peer* teacher_of(time_us now, directory_kind kind);
@@ -250,6 +258,7 @@
   std::map<std::string, uint64_t> last_lift_;  ///< By zone, for all times.
   uint64_t next_call_id_ = 1;
   uint64_t sequence_ = 0;
+  time_us started_ = 0;
   time_us next_round_ = 0;
   time_us next_forget_ = 0;
   time_us next_ask_ = INT64_MAX;  ///< While something is not known at all.
--- a/packages/coordination/include/turmeric/coordination/watch_duty_base.h
+++ b/packages/coordination/include/turmeric/coordination/watch_duty_base.h
@@ -22,6 +22,9 @@
   /** Others step in when no watching balancer was heard for this long: twice
    * the interval of their heartbeats and some delay. */
   time_us served_time = 1200 * us_per_ms;
+  /** Balancers of a group that read the registry first when many start at
+   * once; some of them may not be heard yet, or be slow. */
+  size_t first_readers = 4;
   /** How often a balancer that relies on others looks whether they are there.
    */
   time_us check_interval = 200 * us_per_ms;
@@ -42,10 +45,16 @@
    * `served` means that it does. */
   duty_reason decide(time_us now, directory_kind kind, const peer_table& peers);
 
+  /** @return Whether this balancer is among the few of its group that read the
+   * registry first when many start at once. */
+  bool reads_first(time_us now, const peer_table& peers) const;
+
   /** @return Whether the group has balancers that rely on others. */
   bool group_is_large(time_us now, const peer_table& peers) const;
 
  private:
+  size_t rank_among(const std::vector<const known_peer*>& others) const;
+
   watch_duty_options options_;
   std::string name_;
   /** When a watching balancer of the group was last heard. */
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -30,6 +30,7 @@
 
 directory_core::actions directory_core::start(time_us now) {
   actions out;
+  started_ = now;
   set_seeds(now, options_.seeds);
   for (const directory_kind kind : call_order) {
     of(kind).next_call =
@@ -151,7 +152,7 @@
   if (f.call != 0 || now < f.next_call)
     return false;
   if (!f.belief.loaded() && left_to_peers(now, kind)) {
-    f.next_call = f.asked + options_.ask_patience;
+    f.next_call = now + options_.ask_patience;
     return false;
   }
   if (!f.belief.loaded() || f.must_list)
@@ -169,8 +170,10 @@
                                   actions* out) {
   follower& f = of(kind);
   // Later pages may be newer; changes since the first are watched for.
-  if (f.listed.empty())
+  if (f.listed.empty()) {
     f.list_revision = reply.revision;
+    f.list_begun = now;
+  }
   f.listed.insert(f.listed.end(), reply.changes.begin(), reply.changes.end());
   if (reply.more && !reply.changes.empty())
     return;
@@ -210,7 +213,13 @@
     if (kind == directory_kind::targets)
       publish(now, out);
   }
-  f.listed.clear();
+  // Pages that came are not asked for again: while many start at once, calls
+  // over the registry's rate fail, and nobody would get to the last page.
+  const bool keep = reply.status == registry_status::throttled ||
+                    reply.status == registry_status::refused ||
+                    reply.status == registry_status::unreachable;
+  if (!keep || now - f.list_begun >= options_.list_life)
+    f.listed.clear();
   if (reply.status == registry_status::history_gone) {
     f.must_list = true;
     f.next_call = now;
@@ -355,13 +364,15 @@
 void directory_core::publish(time_us now, actions* out) {
   if (!complete())
     return;
-  published_ = true;
+  const bool first = !std::exchange(published_, true);
   published_balancers_ = peers_.alive_ids(now);
   published_silent_ = peers_.silent_zones(now);
   out->push_back(
       publish_table{std::make_shared<const forwarding_table>(make_input()),
                     published_balancers_, zone_ids(now), published_silent_,
                     of(directory_kind::targets).lost});
+  if (first)
+    announce(now, out);
   if (!early_reports_.empty())
     out->push_back(reported_targets{std::exchange(early_reports_, {})});
 }
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -151,9 +151,21 @@
     meet_more(now, out);
 }
 
+void directory_core::announce(time_us now, actions* out) {
+  // Those that start at the same time can ask this one now.
+  const peer_hello hello = make_hello(now);
+  for (const known_peer* peer : peers_.alive_in_group(now))
+    out->push_back(send_peer_message{peer->hello.address, hello});
+}
+
 void directory_core::meet_more(time_us now, actions* out) {
-  if (next_ask_ == INT64_MAX)
-    next_ask_ = now + options_.ask_delay;
+  const bool waits =
+      std::any_of(followers_.begin(), followers_.end(), [&](const follower& f) {
+        return !f.belief.loaded() &&
+               (f.asked == 0 || now - f.asked >= options_.ask_patience);
+      });
+  if (waits)
+    next_ask_ = std::min(next_ask_, now + options_.ask_delay);
   if (peers_.heard() >= options_.first_contacts)
     return;
   const peer_hello hello = make_hello(now);
@@ -195,8 +207,11 @@
 
 bool directory_core::left_to_peers(time_us now, directory_kind kind) const {
   const follower& f = followers_[static_cast<size_t>(kind)];
-  return peers_.peers().size() > options_.large_fleet && f.asked != 0 &&
-         now - f.asked < options_.ask_patience;
+  if (peers_.peers().size() <= options_.large_fleet)
+    return false;
+  const bool asked = f.asked != 0 && now - f.asked < options_.ask_patience;
+  return asked || (now - started_ < options_.first_patience &&
+                   !duty_.reads_first(now, peers_));
 }
 
 bool directory_core::all_zones_silent() const {
--- a/packages/coordination/src/watch_duty.cpp
+++ b/packages/coordination/src/watch_duty.cpp
@@ -12,6 +12,20 @@
   return peers.alive_in_group(now).size() + 1 > options_.all_watch;
 }
 
+size_t watch_duty::rank_among(
+    const std::vector<const known_peer*>& others) const {
+  // The same ones watch all kinds: each of them sends heartbeats to the whole
+  // group, and only targets change often.
+  const uint64_t own = hash_pair(hash_name(name_), 0);
+  return static_cast<size_t>(std::count_if(
+      others.begin(), others.end(),
+      [own](const known_peer* p) { return hash_pair(p->id, 0) < own; }));
+}
+
+bool watch_duty::reads_first(time_us now, const peer_table& peers) const {
+  return rank_among(peers.alive_in_group(now)) < options_.first_readers;
+}
+
 duty_reason watch_duty::decide(time_us now,
                                directory_kind kind,
                                const peer_table& peers) {
@@ -19,16 +33,8 @@
   if (others.size() + 1 <= options_.all_watch)
     return duty_reason::small_group;
   const auto index = static_cast<size_t>(kind);
-  // The same ones watch all kinds: each of them sends heartbeats to the whole
-  // group, and only targets change often.
-  const auto weight = [](const std::string& name) {
-    return hash_pair(hash_name(name), 0);
-  };
-  const uint64_t own = weight(name_);
-  size_t rank = 0;
+  const size_t rank = rank_among(others);
   for (const known_peer* peer : others) {
-    if (weight(peer->hello.name) < own)
-      ++rank;
     if (watches(peer->hello, kind))
       served_[index] = std::max(served_[index], peer->heard);
   }
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -116,6 +116,8 @@
   time_us cross_zone = 1400;
   time_us to_caller = us_per_ms;
   time_us store_delay = 4 * us_per_ms;
+  /** Calls a second that the store takes; more are turned away. */
+  uint64_t reads_per_s = 2000;
   time_us heartbeat = 770 * us_per_ms;
   double cold_bound = 5.0;
   bool uneven = false;  ///< Half of the callers are in the first zone.
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -258,6 +258,14 @@
   if (!store_reaches(*b) || store_silent_)
     return;
   const time_us way = options_.shape.store_delay / 2;
+  const auto second = static_cast<uint64_t>(clock_.now() / us_per_s);
+  if (std::exchange(calls_second_, second) != second)
+    calls_in_second_ = 0;
+  if (++calls_in_second_ > options_.shape.reads_per_s) {
+    none.status = registry_status::throttled;
+    clock_.after(2 * way, [finish, none] { finish(none); });
+    return;
+  }
   if (store_down_ || b->refused) {
     none.status = registry_status::refused;
     clock_.after(2 * way, [finish, none] { finish(none); });
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -194,6 +194,8 @@
   bool store_down_ = false;
   bool store_silent_ = false;
   time_us store_disturbed_ = 0;
+  uint64_t calls_second_ = 0;  ///< The second that is counted.
+  uint64_t calls_in_second_ = 0;
   std::vector<std::unique_ptr<balancer>> balancers_;
   std::map<std::string, std::unique_ptr<target>> targets_;
   std::map<endpoint, target*> addresses_;
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -19,7 +19,8 @@
 constexpr const char* usage_text =
     "Usage: emulate [--seed N] [--runs N] [--troubles N] [--trouble NAME]\n"
     "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
-    "               [--recovery]\n"
+    "               [--balancers N]\n"
+    "               [--targets N] [--reads N] [--recovery]\n"
     "\n"
     "Plays runs in virtual time, from seed N on, and prints broken promises.\n"
     "The exit code is 1 if there was one.\n"
@@ -32,6 +33,9 @@
     "  -f, --follow TARGET print what happens to this target\n"
     "  -l, --list          print the names of troubles and plants\n"
     "  -r, --report        print what callers got\n"
+    "  -B, --balancers N   size of the fleet (drawn)\n"
+    "  -T, --targets N     targets of the first service (14)\n"
+    "  -S, --reads N       calls a second that the store takes (2000)\n"
     "  -R, --recovery      play each trouble alone and print how fast service\n"
     "                      comes back\n";
 
@@ -44,6 +48,9 @@
   bool report = false;
   bool recovery = false;
   std::string follow;
+  size_t balancers = 0;  ///< 0: drawn.
+  size_t targets = 0;    ///< 0: as usual.
+  uint64_t reads = 0;    ///< 0: as usual.
 };
 
 template <typename E>
@@ -71,6 +78,17 @@
   return draw_run(seed, line.troubles);
 }
 
+/** Another size of fleet, directory or store. */
+emu_options sized(const command_line& line, emu_options options) {
+  if (line.balancers != 0)
+    options.shape.balancers = line.balancers;
+  if (line.targets != 0)
+    options.shape.services[0].targets = line.targets;
+  if (line.reads != 0)
+    options.shape.reads_per_s = line.reads;
+  return options;
+}
+
 void print_report(uint64_t seed,
                   const emu_options& options,
                   const emu_report& report) {
@@ -116,7 +134,7 @@
   const auto work = [&] {
     for (uint64_t i = next++; i < line.runs; i = next++) {
       const uint64_t seed = line.seed + i;
-      emu_options options = options_of(line, seed);
+      emu_options options = sized(line, options_of(line, seed));
       options.follow = line.follow;
       emu_world world(options);
       const emu_report report = world.run();
@@ -154,12 +172,15 @@
                             {"follow", required_argument, nullptr, 'f'},
                             {"list", no_argument, nullptr, 'l'},
                             {"report", no_argument, nullptr, 'r'},
+                            {"balancers", required_argument, nullptr, 'B'},
+                            {"targets", required_argument, nullptr, 'T'},
+                            {"reads", required_argument, nullptr, 'S'},
                             {"recovery", no_argument, nullptr, 'R'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:f:lrRh", options,
-                                   nullptr)) != -1;) {
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:f:B:T:S:lrRh",
+                                   options, nullptr)) != -1;) {
     switch (c) {
       case 's':
         line.seed = std::strtoull(optarg, nullptr, 10);
@@ -183,6 +204,15 @@
         print_names<emu_trouble>("troubles");
         print_names<emu_plant>("plants");
         return 0;
+      case 'B':
+        line.balancers = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'T':
+        line.targets = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'S':
+        line.reads = std::strtoull(optarg, nullptr, 10);
+        break;
       case 'R':
         line.recovery = true;
         break;
