--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -211,27 +211,22 @@
     return;
   f.connected = true;
   f.acknowledged = sequence;
-  // The request goes out, and again until it is answered.
-  auto repeat = std::make_shared<std::function<void(time_us)>>();
-  *repeat = [this, flow_number, repeat](time_us wait) {
-    const auto found = flows_.find(flow_number);
-    if (found == flows_.end() || found->second.over || found->second.answered) {
-      *repeat = nullptr;
-      return;
-    }
-    segment s = found->second.head;
-    s.flags.acknowledges = true;
-    s.token = found->second.token;
-    s.acknowledged = found->second.acknowledged;
-    s.data_bytes = 100;
-    send(found->second, s);
-    const auto again = *repeat;
-    clock_.after(wait, [again, wait] {
-      if (again)
-        again(std::min(2 * wait, last_repeat));
-    });
-  };
-  (*repeat)(first_repeat);
+  send_request(flow_number, first_repeat);
+}
+
+void emu_world::send_request(uint64_t flow_number, time_us wait) {
+  const auto it = flows_.find(flow_number);
+  if (it == flows_.end() || it->second.over || it->second.answered)
+    return;
+  segment s = it->second.head;
+  s.flags.acknowledges = true;
+  s.token = it->second.token;
+  s.acknowledged = it->second.acknowledged;
+  s.data_bytes = 100;
+  send(it->second, s);
+  clock_.after(wait, [this, flow_number, wait] {
+    send_request(flow_number, std::min(2 * wait, last_repeat));
+  });
 }
 
 void emu_world::data_at(target* t, uint64_t flow_number, const segment& s) {
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -138,6 +138,8 @@
   void work_done(target* t, uint64_t flow_number);
   void to_caller(const target& t, std::function<void()> event);
   void connected(uint64_t flow_number, uint32_t sequence, flow_token token);
+  /** Sends a flow's request, and again until it is answered. */
+  void send_request(uint64_t flow_number, time_us wait);
   void acknowledge(uint64_t flow_number);
   void answered(uint64_t flow_number, flow_token token);
   void got_reset(uint64_t flow_number, bool from_target, const std::string& by);
