--- a/tests/emulator/emu_rules.cpp
+++ b/tests/emulator/emu_rules.cpp
@@ -23,16 +23,6 @@
     report_.violations.push_back({rule, clock_.now(), what});
 }
 
-void emu_world::follow(const target& t, const std::string& what) {
-  if (t.name != options_.follow)
-    return;
-  const time_us now = clock_.now();
-  const time_us cold = t.cold_until - now;
-  report_.followed.push_back(
-      std::to_string(now - start_) + " us " + what +
-      (cold > 0 ? ", cold for " + std::to_string(cold) + " us" : ""));
-}
-
 bool emu_world::in_touch(const balancer& b) const {
   const time_us now = clock_.now();
   const bool connected = !b.cut && !b.refused && !disturbed_now(b.zone);
--- a/tests/unit/directory_fixture.h
+++ b/tests/unit/directory_fixture.h
@@ -28,6 +28,21 @@
   return [n = uint64_t{0}]() mutable { return hash_pair(++n, 1); };
 }
 
+/** A heartbeat of a peer that knows nothing yet. */
+inline peer_hello hello_of(const std::string& name,
+                           const std::string& zone,
+                           endpoint address,
+                           uint64_t incarnation,
+                           uint64_t sequence = 1) {
+  peer_hello hello;
+  hello.name = name;
+  hello.zone = zone;
+  hello.address = address;
+  hello.incarnation = incarnation;
+  hello.sequence = sequence;
+  return hello;
+}
+
 /** A target as it would register itself. */
 inline target_entry make_target(const std::string& name) {
   target_entry t;
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -17,12 +17,8 @@
   follower_fixture pupil(options);
   pupil.messages.clear();
   // The neighbour remembers the address and sends its next heartbeat.
-  peer_hello hello;
-  hello.name = "front-2";
-  hello.zone = "north";
-  hello.address = peer_address;
-  hello.incarnation = options.incarnation - 1;
-  hello.sequence = 1;
+  peer_hello hello =
+      hello_of("front-2", "north", peer_address, options.incarnation - 1);
   hello.marks = {teacher.core.belief(directory_kind::targets).mark(),
                  teacher.core.belief(directory_kind::routing).mark(),
                  teacher.core.belief(directory_kind::withdrawals).mark()};
@@ -46,12 +42,9 @@
 
 /** A heartbeat of one of many peers that know everything. */
 peer_hello knowing_peer(const follower_fixture& f, uint32_t number) {
-  peer_hello hello;
-  hello.name = "front-" + std::to_string(100 + number);
-  hello.zone = number % 2 == 0 ? "north" : "south";
-  hello.address = {peer_address.ip + number, peer_address.port};
-  hello.incarnation = 7;
-  hello.sequence = 1;
+  peer_hello hello = hello_of("front-" + std::to_string(100 + number),
+                              number % 2 == 0 ? "north" : "south",
+                              {peer_address.ip + number, peer_address.port}, 7);
   for (size_t i = 0; i < directory_kinds; ++i)
     hello.marks[i] = f.core.belief(static_cast<directory_kind>(i)).mark();
   return hello;
@@ -166,12 +159,8 @@
         options.address = {static_cast<uint32_t>(self + 1), 1};
         peer_table peers(options);
         for (size_t other = 0; other <= row.peers; ++other) {
-          peer_hello hello;
-          hello.name = "front-" + std::to_string(other);
-          hello.zone = "north";
-          hello.address = {static_cast<uint32_t>(other + 1), 1};
-          hello.incarnation = 1;
-          hello.sequence = 1;
+          peer_hello hello = hello_of("front-" + std::to_string(other), "north",
+                                      {static_cast<uint32_t>(other + 1), 1}, 1);
           hello.watching = row.watching ? 1 : 0;
           peers.on_hello(start, hello);
         }
@@ -192,12 +181,8 @@
   follower_fixture watcher;
   watcher.load();
   for (uint32_t i = 1; i <= 8; ++i) {
-    peer_hello hello;
-    hello.name = "front-1" + std::to_string(i);
-    hello.zone = "north";
-    hello.address = {peer_address.ip + i, peer_address.port};
-    hello.incarnation = 7;
-    hello.sequence = 1;
+    peer_hello hello = hello_of("front-1" + std::to_string(i), "north",
+                                {peer_address.ip + i, peer_address.port}, 7);
     hello.marks = {watcher.core.belief(directory_kind::targets).mark(),
                    watcher.core.belief(directory_kind::routing).mark(),
                    watcher.core.belief(directory_kind::withdrawals).mark()};
@@ -219,12 +204,8 @@
   follower_fixture watcher;
   watcher.load();
   for (uint32_t i = 1; i <= 8; ++i) {
-    peer_hello hello;
-    hello.name = "front-1" + std::to_string(i);
-    hello.zone = "north";
-    hello.address = {peer_address.ip + i, peer_address.port};
-    hello.incarnation = 7;
-    hello.sequence = 1;
+    peer_hello hello = hello_of("front-1" + std::to_string(i), "north",
+                                {peer_address.ip + i, peer_address.port}, 7);
     hello.marks = {watcher.core.belief(directory_kind::targets).mark(),
                    watcher.core.belief(directory_kind::routing).mark(),
                    watcher.core.belief(directory_kind::withdrawals).mark()};
@@ -244,12 +225,7 @@
 BOOST_AUTO_TEST_CASE(balancer_that_is_behind_asks_the_peer_that_is_ahead) {
   follower_fixture f;
   f.load();
-  peer_hello ahead;
-  ahead.name = "front-2";
-  ahead.zone = "north";
-  ahead.address = peer_address;
-  ahead.incarnation = 7;
-  ahead.sequence = 1;
+  peer_hello ahead = hello_of("front-2", "north", peer_address, 7);
   ahead.marks = {directory_mark{50, 1}, directory_mark{10, 0},
                  directory_mark{10, 0}};
   ahead.marks[1] = f.core.belief(directory_kind::routing).mark();
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -223,12 +223,8 @@
   }
 
   void hear(uint64_t incarnation, uint64_t sequence) {
-    peer_hello hello;
-    hello.name = "front-2";
-    hello.zone = "north";
-    hello.address = peer_address;
-    hello.incarnation = incarnation;
-    hello.sequence = sequence;
+    peer_hello hello =
+        hello_of("front-2", "north", peer_address, incarnation, sequence);
     take(core.on_peer(now, hello));
   }
 
@@ -285,12 +281,7 @@
 // came before its first table, and was lost.
 BOOST_AUTO_TEST_CASE(reports_wait_for_the_first_table) {
   follower_fixture starting(options_of("front-3", own_address));
-  peer_hello hello;
-  hello.name = "front-2";
-  hello.zone = "north";
-  hello.address = peer_address;
-  hello.incarnation = 7;
-  hello.sequence = 1;
+  peer_hello hello = hello_of("front-2", "north", peer_address, 7);
   starting.take(starting.core.on_peer(starting.now, hello));
   const peer_reports message{peer_address, 7, 2, {silent("i-1", 2)}};
   size_t told = 0;
@@ -349,11 +340,8 @@
 // Emulator seed 793: for a third of a second after its cut nobody told it.
 BOOST_AUTO_TEST_CASE(one_that_is_cut_off_is_heard_soon_after) {
   talker f;
-  peer_hello far;
-  far.name = "front-9";
-  far.zone = "south";
-  far.address = {peer_address.ip + 9, peer_address.port};
-  far.incarnation = far.sequence = 1;
+  peer_hello far =
+      hello_of("front-9", "south", {peer_address.ip + 9, peer_address.port}, 1);
   f.take(f.core.on_peer(f.now, far));
   f.load();
   f.advance(5 * us_per_s);
