--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -175,7 +175,7 @@
     uint64_t call = 0;  ///< In flight; 0 if none.
     registry_op op = registry_op::list;
     bool must_list = true;
-    bool brief = false;  ///< The call in flight only asks what has changed.
+    bool brief = false;  ///< What has changed must be read now.
     time_us next_call = 0;
     time_us asked = 0;  ///< When a peer was last asked for all of it; 0: never.
     uint32_t failures = 0;
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -89,10 +89,11 @@
     call.revision = f.belief.mark().revision;
   else if (!f.listed.empty())
     call.after = f.listed.back().name;
-  if (f.must_list) {
+  // What changed may be as long as a list.
+  if (f.must_list || f.brief) {
     call.timeout =
         doubled(options_.list_timeout, f.failures, options_.max_list_timeout);
-  } else if (f.lost || f.brief) {
+  } else if (f.lost) {
     // Without a wait a watch brings what changed meanwhile; a long one on a
     // registry that does not answer would hide its return.
     call.timeout =
@@ -114,7 +115,9 @@
   if (f == nullptr)
     return out;
   f->call = 0;
-  f->brief = false;
+  if (reply.status == registry_status::ok ||
+      reply.status == registry_status::history_gone)
+    f->brief = false;
   if (reply.status != registry_status::ok) {
     call_failed(now, kind, reply, &out);
     return out;
@@ -155,7 +158,7 @@
     f.next_call = now + options_.ask_patience;
     return false;
   }
-  if (!f.belief.loaded() || f.must_list)
+  if (!f.belief.loaded() || f.must_list || f.brief)
     return true;
   f.duty = duty_.decide(now, kind, peers_);
   if (f.duty != duty_reason::served)
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -128,6 +128,30 @@
   BOOST_TEST(f.openings() == 1u);
 }
 
+// Found by the hunt on kitakiroku-grown (hunt-54f2-3): what had changed was a
+// configuration that the smallest instances took longer to read than a short
+// limit allowed, and nothing was tried again.
+BOOST_AUTO_TEST_CASE(what_changed_is_read_with_the_limits_of_a_list_and_again) {
+  follower_fixture f;
+  f.load();
+  f.take(f.core.paused(f.now));
+  time_us last = 0;
+  for (int i = 0; i < 3; ++i) {
+    const registry_call call = f.call(directory_kind::routing);
+    BOOST_TEST(asks_at_once(call));
+    BOOST_TEST(call.timeout >= directory_options().list_timeout);
+    BOOST_TEST(call.timeout >= last);
+    last = call.timeout;
+    f.reply(directory_kind::routing, 0, {}, registry_status::unreachable);
+    f.advance(directory_options().retry_max * 2);
+    BOOST_TEST(f.call(directory_kind::routing).id != call.id);
+  }
+  f.reply(directory_kind::routing, 20, {entry("main", 20, make_routing(2))});
+  BOOST_TEST(f.table->routing_version() == 2u);
+  f.advance(directory_options().watch_pause);
+  BOOST_TEST(f.call(directory_kind::routing).wait > 0);
+}
+
 // Found by the emulator (seed 879): the entries of a zone's targets lapsed
 // while the store was away, the zone was taken back, and for the grace of
 // lapsed entries its targets were used as the warm ones that they had been.
