--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -234,7 +234,7 @@
   void announce(time_us now, actions* out);
   void meet_more(time_us now, actions* out);
   void ask_peers(time_us now, actions* out);
-  const known_peer* teacher_of(time_us now, directory_kind kind);
+  const known_peer* peer_to_ask(time_us now, directory_kind kind);
   bool left_to_peers(time_us now, directory_kind kind) const;
   bool all_zones_silent() const;
   void ask_if_ahead(time_us now, known_peer* peer, actions* out);
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -173,7 +173,8 @@
     out->push_back(send_peer_message{to, hello});
 }
 
-const known_peer* directory_core::teacher_of(time_us now, directory_kind kind) {
+const known_peer* directory_core::peer_to_ask(time_us now,
+                                              directory_kind kind) {
   const auto index = static_cast<size_t>(kind);
   std::vector<const known_peer*> own;
   std::vector<const known_peer*> others;
@@ -192,11 +193,11 @@
     if (followers_[i].belief.loaded())
       continue;
     next_ask_ = now + options_.ask_patience;
-    const auto* teacher = teacher_of(now, static_cast<directory_kind>(i));
-    if (teacher == nullptr)
+    const auto* peer = peer_to_ask(now, static_cast<directory_kind>(i));
+    if (peer == nullptr)
       continue;
     followers_[i].asked = now;
-    wants[teacher->hello.address] |= 1U << i;
+    wants[peer->hello.address] |= 1U << i;
   }
   for (const auto& [to, kinds] : wants) {
     peer_hello hello = make_hello(now);
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -11,33 +11,33 @@
 // Found on the users' bench: a balancer that starts while its zone is cut off
 // reaches neither the registry nor its seeds; its neighbours know its address.
 BOOST_AUTO_TEST_CASE(neighbour_that_starts_again_learns_everything_at_once) {
-  follower_fixture teacher;
-  teacher.load();
+  follower_fixture knowing;
+  knowing.load();
   auto options = options_of("front-2", peer_address);
-  follower_fixture pupil(options);
-  pupil.messages.clear();
+  follower_fixture starting(options);
+  starting.messages.clear();
   // The neighbour remembers the address and sends its next heartbeat.
   peer_hello hello =
       hello_of("front-2", "north", peer_address, options.incarnation - 1);
-  hello.marks = {teacher.core.belief(directory_kind::targets).mark(),
-                 teacher.core.belief(directory_kind::routing).mark(),
-                 teacher.core.belief(directory_kind::withdrawals).mark()};
-  teacher.take(teacher.core.on_peer(teacher.now, hello));
-  teacher.messages.clear();
-  teacher.advance(us_per_s);
+  hello.marks = {knowing.core.belief(directory_kind::targets).mark(),
+                 knowing.core.belief(directory_kind::routing).mark(),
+                 knowing.core.belief(directory_kind::withdrawals).mark()};
+  knowing.take(knowing.core.on_peer(knowing.now, hello));
+  knowing.messages.clear();
+  knowing.advance(us_per_s);
   for (int round = 0; round < 3; ++round) {
-    const auto to_pupil = std::exchange(teacher.messages, {});
+    const auto to_pupil = std::exchange(knowing.messages, {});
     for (const auto& m : to_pupil)
-      pupil.take(pupil.core.on_peer(pupil.now, m.body));
+      starting.take(starting.core.on_peer(starting.now, m.body));
     // It listens for a moment before it chooses whom to ask.
     if (round == 0)
-      pupil.advance(directory_options().ask_delay);
-    const auto to_teacher = std::exchange(pupil.messages, {});
+      starting.advance(directory_options().ask_delay);
+    const auto to_teacher = std::exchange(starting.messages, {});
     for (const auto& m : to_teacher)
-      teacher.take(teacher.core.on_peer(teacher.now, m.body));
+      knowing.take(knowing.core.on_peer(knowing.now, m.body));
   }
-  BOOST_REQUIRE(pupil.table != nullptr);
-  BOOST_TEST(pupil.openings() == 1u);
+  BOOST_REQUIRE(starting.table != nullptr);
+  BOOST_TEST(starting.openings() == 1u);
 }
 
 /** A heartbeat of one of many peers that know everything. */
@@ -52,18 +52,19 @@
 
 // Found by the sweep at 300 machines: each of the peers that heard of one that
 // started sent it the whole directory, eleven copies and more.
-BOOST_AUTO_TEST_CASE(one_peer_teaches_one_that_starts) {
+BOOST_AUTO_TEST_CASE(one_that_starts_asks_one_peer) {
   constexpr uint32_t peers = 40;
-  follower_fixture teacher;
-  teacher.load();
+  follower_fixture knowing;
+  knowing.load();
   auto options = options_of("front-2", own_address);
-  follower_fixture pupil(options);
+  follower_fixture starting(options);
   for (uint32_t i = 1; i <= peers; ++i)
-    pupil.take(pupil.core.on_peer(pupil.now, knowing_peer(teacher, i)));
-  pupil.messages.clear();
-  pupil.advance(directory_options().ask_delay);
+    starting.take(
+        starting.core.on_peer(starting.now, knowing_peer(knowing, i)));
+  starting.messages.clear();
+  starting.advance(directory_options().ask_delay);
   std::vector<endpoint> asked;
-  for (const auto& m : pupil.messages) {
+  for (const auto& m : starting.messages) {
     const auto* hello = std::get_if<peer_hello>(&m.body);
     if (hello != nullptr && hello->wants != 0)
       asked.push_back(m.to);
@@ -73,40 +74,41 @@
   BOOST_TEST(asked.size() <= directory_kinds);
   for (const auto& to : asked)
     BOOST_TEST((to.ip - peer_address.ip) % 2 == 0u);
-  const uint64_t call = pupil.call(directory_kind::targets).id;
-  pupil.advance(directory_options().peers_first);
-  BOOST_TEST(pupil.call(directory_kind::targets).id == call);
+  const uint64_t call = starting.call(directory_kind::targets).id;
+  starting.advance(directory_options().peers_first);
+  BOOST_TEST(starting.call(directory_kind::targets).id == call);
   // They may have died meanwhile.
-  pupil.messages.clear();
-  pupil.advance(directory_options().ask_patience);
-  BOOST_TEST(std::any_of(pupil.messages.begin(), pupil.messages.end(),
+  starting.messages.clear();
+  starting.advance(directory_options().ask_patience);
+  BOOST_TEST(std::any_of(starting.messages.begin(), starting.messages.end(),
                          [](const auto& m) {
                            const auto* hello = std::get_if<peer_hello>(&m.body);
                            return hello != nullptr && hello->wants != 0;
                          }));
 
   // A peer that hears of one that knows nothing does not send all by itself.
-  peer_hello started = knowing_peer(teacher, 1);
+  peer_hello started = knowing_peer(knowing, 1);
   started.marks = {};
-  teacher.messages.clear();
-  teacher.take(teacher.core.on_peer(teacher.now, started));
+  knowing.messages.clear();
+  knowing.take(knowing.core.on_peer(knowing.now, started));
   BOOST_TEST(std::none_of(
-      teacher.messages.begin(), teacher.messages.end(), [](const auto& m) {
+      knowing.messages.begin(), knowing.messages.end(), [](const auto& m) {
         return std::holds_alternative<peer_directory>(m.body);
       }));
 }
 
 // What a balancer learns at its start is no news to its zone.
 BOOST_AUTO_TEST_CASE(first_knowledge_is_not_passed_on) {
-  follower_fixture teacher;
-  teacher.load();
-  follower_fixture pupil(options_of("front-2", own_address));
+  follower_fixture knowing;
+  knowing.load();
+  follower_fixture starting(options_of("front-2", own_address));
   for (uint32_t i = 1; i <= 12; ++i)
-    pupil.take(pupil.core.on_peer(pupil.now, knowing_peer(teacher, 2 * i)));
-  pupil.messages.clear();
-  pupil.load();
+    starting.take(
+        starting.core.on_peer(starting.now, knowing_peer(knowing, 2 * i)));
+  starting.messages.clear();
+  starting.load();
   BOOST_TEST(std::none_of(
-      pupil.messages.begin(), pupil.messages.end(), [](const auto& m) {
+      starting.messages.begin(), starting.messages.end(), [](const auto& m) {
         return std::holds_alternative<peer_directory>(m.body);
       }));
 }
