--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -265,14 +265,13 @@
   zone.answered = now;
   if (zone.silent.size() >= options_.silent_targets) {
     // The way was to blame for their silence.
+    zone.unsure_until = now + options_.recovering_time;
     for (const flow_token token : zone.silent) {
       evidence& other = evidence_[token];
       other.failures = 0;
       other.probing = false;
     }
   }
-  if (zone.silent.size() >= options_.silent_targets)
-    zone.unsure_until = now + options_.recovering_time;
   zone.silent.clear();
   zone.probing = false;
   evidence& e = evidence_[target.token];
