--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -237,8 +237,8 @@
       since = 0;
       continue;
     }
-    const bool relies =
-        followers_[i].duty == duty_reason::served && !followers_[i].lost;
+    follower& f = followers_[i];
+    const bool relies = f.duty == duty_reason::served;
     // The push to one that relies on others went astray, or was too large.
     if (since == 0 && relies)
       wants_news |= 1U << i;
@@ -251,10 +251,17 @@
     // has lost it without having noticed yet, or reads it just now.
     if (relies) {
       since = now;
-      read_again(now, static_cast<directory_kind>(i), out);
-    } else {
-      wants |= 1U << i;
+      if (f.call == 0 || !f.brief)
+        read_again(now, static_cast<directory_kind>(i), out);
     }
+    if (relies && !f.lost)
+      continue;
+    // An answer may fill a small link for a while; more of them would only
+    // keep each other from arriving.
+    if (f.asked != 0 && now - f.asked < options_.push_patience)
+      continue;
+    f.asked = now;
+    wants |= 1U << i;
   }
   if ((wants | wants_news) == 0)
     return;
@@ -285,7 +292,7 @@
                          now - peer->behind_since[i] >= options_.push_patience);
     const bool pushed_lately =
         peer->pushed[i] != 0 && now - peer->pushed[i] < options_.push_patience;
-    if (waited && (asked || news || !pushed_lately))
+    if (waited && !pushed_lately)
       push_kind(now, kind, peer, out);
   }
 }
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -223,6 +223,79 @@
   BOOST_TEST(watcher.messages.size() == 8u);
 }
 
+// Found by the hunt on kitakiroku-grown (hunt-96e7-3): each of a dozen
+// heartbeats a second made one that was behind ask, and each answer was 100 KB
+// on a link of 10 Mbit/s, so that none arrived.
+BOOST_AUTO_TEST_CASE(one_that_is_behind_asks_no_faster_than_answers_come) {
+  follower_fixture f;
+  f.load();
+  size_t asks = 0;
+  constexpr uint32_t peers = 20;
+  for (uint64_t round = 1; round <= 10; ++round) {
+    for (uint32_t i = 1; i <= peers; ++i) {
+      peer_hello ahead = knowing_peer(f, i);
+      ahead.sequence = round;
+      ahead.marks[0] = {50, 1};
+      f.take(f.core.on_peer(f.now, ahead));
+      for (const auto& m : std::exchange(f.messages, {})) {
+        const auto* hello = std::get_if<peer_hello>(&m.body);
+        asks += hello != nullptr && hello->wants != 0 ? 1 : 0;
+      }
+    }
+    f.now += 100 * us_per_ms;
+  }
+  BOOST_TEST(asks > 0u);
+  BOOST_TEST(asks <= 4u);  // In a second, one in 300 ms.
+
+  follower_fixture other(options_of("front-2", peer_address));
+  other.load();
+  size_t answers = 0;
+  for (uint64_t round = 1; round <= 10; ++round) {
+    peer_hello behind = hello_of("front-1", "north", own_address, 7, round);
+    behind.wants = 1;
+    other.take(other.core.on_peer(other.now, behind));
+    for (const auto& m : std::exchange(other.messages, {}))
+      answers += std::holds_alternative<peer_directory>(m.body) ? 1 : 0;
+    other.now += 50 * us_per_ms;
+  }
+  BOOST_TEST(answers > 0u);
+  BOOST_TEST(answers <= 2u);
+}
+
+// The same day: a call had failed once, its group served it since, and it took
+// the registry for away and never asked it again.
+BOOST_AUTO_TEST_CASE(one_that_relies_on_others_tries_a_lost_registry_again) {
+  int relying = 0;
+  for (int number = 0; number < 8; ++number) {
+    follower_fixture f(
+        options_of("front-x" + std::to_string(number), own_address));
+    f.load();
+    peer_hello ahead;
+    for (uint32_t i = 1; i <= 8; ++i) {
+      ahead = knowing_peer(f, 2 * i);
+      ahead.watching = 7;
+      f.take(f.core.on_peer(f.now, ahead));
+    }
+    const uint64_t call = f.call(directory_kind::routing).id;
+    f.reply(directory_kind::routing, 0, {}, registry_status::unreachable);
+    f.advance(directory_options().retry_max * 2);
+    ahead.sequence = 2;
+    f.take(f.core.on_peer(f.now, ahead));
+    f.advance(directory_options().duty.check_interval);
+    if (f.call(directory_kind::routing).id != call)
+      continue;  // One of the two that watch.
+    ++relying;
+    ahead.marks[1] = directory_mark{20, 99};
+    for (ahead.sequence = 3; ahead.sequence < 6; ++ahead.sequence) {
+      f.now += directory_options().push_patience;
+      f.take(f.core.on_peer(f.now, ahead));
+    }
+    BOOST_TEST(f.call(directory_kind::routing).id != call);
+    BOOST_TEST(asks_at_once(f.call(directory_kind::routing)));
+  }
+  BOOST_TEST(relying >= 4);
+}
+
 // A balancer that sees that a peer knows more asks for it.
 BOOST_AUTO_TEST_CASE(balancer_that_is_behind_asks_the_peer_that_is_ahead) {
   follower_fixture f;
