--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -43,6 +43,9 @@
   /** Time after which it asks another one: a directory of 3,000 targets takes
    * 150 ms on a link of 10 Mbit/s. */
   time_us ask_patience = 150 * us_per_ms;
+  /** The longest such time; it doubles with each ask, since answers that are
+   * too large for the own link would else keep each other from arriving. */
+  time_us max_ask_patience = 2400 * us_per_ms;
   /** Peers that it tries to hear of at once before that. */
   size_t first_contacts = 16;
   /** In a large fleet, time for which most of a group's balancers wait for the
@@ -177,6 +180,7 @@
     bool must_list = true;
     bool brief = false;  ///< What has changed must be read now.
     time_us next_call = 0;
+    uint32_t asks = 0;  ///< Of peers, while nothing was known.
     time_us asked = 0;  ///< When a peer was last asked for all of it; 0: never.
     uint32_t failures = 0;
     bool lost = false;  ///< The registry did not answer the last call.
@@ -234,6 +238,7 @@
   void announce(time_us now, actions* out);
   void meet_more(time_us now, actions* out);
   void ask_peers(time_us now, actions* out);
+  bool waits_for_answer(time_us now, const follower& f) const;
   const known_peer* peer_to_ask(time_us now, directory_kind kind);
   bool left_to_peers(time_us now, directory_kind kind) const;
   bool all_zones_silent() const;
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -158,11 +158,18 @@
     out->push_back(send_peer_message{peer->hello.address, hello});
 }
 
+bool directory_core::waits_for_answer(time_us now, const follower& f) const {
+  constexpr uint32_t max_doublings = 8;
+  return f.asks != 0 &&
+         now - f.asked < std::min(options_.ask_patience
+                                      << std::min(f.asks - 1, max_doublings),
+                                  options_.max_ask_patience);
+}
+
 void directory_core::meet_more(time_us now, actions* out) {
   const bool waits =
       std::any_of(followers_.begin(), followers_.end(), [&](const follower& f) {
-        return !f.belief.loaded() &&
-               (f.asked == 0 || now - f.asked >= options_.ask_patience);
+        return !f.belief.loaded() && !waits_for_answer(now, f);
       });
   if (waits)
     next_ask_ = std::min(next_ask_, now + options_.ask_delay);
@@ -190,13 +197,17 @@
   next_ask_ = INT64_MAX;
   std::map<endpoint, uint32_t> wants;
   for (size_t i = 0; i < directory_kinds; ++i) {
-    if (followers_[i].belief.loaded())
+    follower& f = followers_[i];
+    if (f.belief.loaded())
       continue;
     next_ask_ = now + options_.ask_patience;
+    if (waits_for_answer(now, f))
+      continue;
     const auto* peer = peer_to_ask(now, static_cast<directory_kind>(i));
     if (peer == nullptr)
       continue;
-    followers_[i].asked = now;
+    f.asked = now;
+    ++f.asks;
     wants[peer->hello.address] |= 1U << i;
   }
   for (const auto& [to, kinds] : wants) {
@@ -208,11 +219,12 @@
 
 bool directory_core::left_to_peers(time_us now, directory_kind kind) const {
   const follower& f = followers_[static_cast<size_t>(kind)];
-  if (peers_.peers().size() <= options_.large_fleet)
+  if (peers_.peers().size() <= options_.large_fleet ||
+      now - started_ >= options_.first_patience)
     return false;
-  const bool asked = f.asked != 0 && now - f.asked < options_.ask_patience;
-  return asked || (now - started_ < options_.first_patience &&
-                   !duty_.reads_first(now, peers_));
+  // Once a peer has not answered, the registry may be faster.
+  return f.asks == 0 ? !duty_.reads_first(now, peers_)
+                     : f.asks == 1 && waits_for_answer(now, f);
 }
 
 bool directory_core::all_zones_silent() const {
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -97,6 +97,32 @@
       }));
 }
 
+// Found on kitakiroku-grown hunt-54f2-3: a zone's instances came back while the
+// store was silent; each asked for 200 KB every 150 ms over a link of 10
+// Mbit/s, got none whole, and left the registry alone for good.
+BOOST_AUTO_TEST_CASE(one_that_starts_asks_less_and_less_often) {
+  follower_fixture knowing;
+  knowing.load();
+  follower_fixture starting(options_of("front-2", own_address));
+  for (uint32_t i = 1; i <= 40; ++i)
+    starting.take(
+        starting.core.on_peer(starting.now, knowing_peer(knowing, i)));
+  starting.messages.clear();
+  starting.reply(directory_kind::routing, 0, {}, registry_status::unreachable);
+  size_t asks = 0;
+  const uint64_t call = starting.call(directory_kind::routing).id;
+  for (int tenth = 1; tenth <= 50; ++tenth) {
+    starting.advance(us_per_s / 10);
+    for (const auto& m : std::exchange(starting.messages, {})) {
+      const auto* hello = std::get_if<peer_hello>(&m.body);
+      asks += hello != nullptr && (hello->wants & 2) != 0 ? 1 : 0;
+    }
+  }
+  BOOST_TEST(asks >= 3u);
+  BOOST_TEST(asks <= 7u);
+  BOOST_TEST(starting.call(directory_kind::routing).id != call);
+}
+
 // What a balancer learns at its start is no news to its zone.
 BOOST_AUTO_TEST_CASE(first_knowledge_is_not_passed_on) {
   follower_fixture knowing;
