--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -116,6 +116,8 @@
   std::vector<uint64_t> zone_balancers;  ///< Those of the own zone.
   std::set<std::string> silent_zones;    ///< No heartbeat arrives from them.
   bool registry_lost = false;            ///< The last read of targets failed.
+  /** Entries and parts of entries that cannot be read, by kind. */
+  std::array<size_t, directory_kinds> unread{};
 };
 
 /** A log line about a change of the replicas or of the registry's state. */
@@ -236,6 +238,7 @@
   void publish(time_us now, actions* out);
   std::vector<uint64_t> alive_zone_ids(time_us now) const;
   table_input make_table_input() const;
+  std::array<size_t, directory_kinds> count_unread() const;
   void add_withdrawn(table_input* input) const;
   void on_peer_hello(time_us now, const peer_hello& hello, actions* out);
   void on_peer_directory(time_us now,
--- a/packages/coordination/include/turmeric/coordination/directory_replica_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_replica_base.h
@@ -20,6 +20,7 @@
   /** The last one that could be read; null if none could. */
   std::shared_ptr<const directory_value> value;
   std::string read_error;  ///< Why the newest value is unreadable, else empty.
+  std::vector<std::string> unread_parts;  ///< Of the newest value.
   bool registered = true;
   time_us removed_at = 0;  ///< When the removal arrived here; local clock.
   uint64_t removed_revision = 0;  ///< Removed at this one or before.
@@ -34,6 +35,7 @@
   uint64_t revision = 0;
   bool removed = false;
   std::string read_error;  ///< Why the new value is unreadable, else empty.
+  std::vector<std::string> unread_parts;  ///< Of the new value.
 };
 
 /** Replica of one kind. */
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -27,7 +27,11 @@
       random_(std::move(random)),
       peers_(options_.peers),
       selection_(options_.selection, options_.peers.name),
-      syncs_(directory_kinds, kind_sync(options_.removed_retention)) {}
+      syncs_(directory_kinds, kind_sync(options_.removed_retention)) {
+  // Without a configuration no table can be built, so the last one is kept even
+  // if it was removed.
+  sync_of(directory_kind::routing) = kind_sync(INT64_MAX);
+}
 
 directory_core::actions directory_core::start(time_us now) {
   actions out;
@@ -92,14 +96,18 @@
     call.after = sync.listed.back().name;
   // The changes since the last revision may be as long as a list.
   if (sync.must_list || sync.catch_up) {
+    call.cause = sync.must_list ? registry_call_cause::list
+                                : registry_call_cause::catch_up;
     call.timeout = doubled(options_.list_timeout, sync.failures,
                            options_.max_list_timeout);
   } else if (sync.last_call_failed) {
     // A watch without a wait brings the changes made in the meantime. A long
     // one on an unresponsive registry would delay detecting its recovery.
+    call.cause = registry_call_cause::retry;
     call.timeout = doubled(options_.probe_timeout, sync.failures,
                            options_.max_probe_timeout);
   } else {
+    call.cause = registry_call_cause::watch;
     call.wait = selection_.group_is_large(now, peers_)
                     ? options_.large_group_watch_wait
                     : options_.watch_wait;
@@ -132,6 +140,12 @@
       publish(now, &out);
   }
   sync->failures = 0;
+  if (reply.nameless != 0) {
+    out.push_back(
+        directory_log_line{"entries without a name left out",
+                           {{"kind", std::string(name_of(kind))},
+                            {"entries", std::to_string(reply.nameless)}}});
+  }
   if (sync->op == registry_op::list)
     on_list_page(now, kind, reply, &out);
   else
@@ -266,7 +280,7 @@
          {"source", source}}});
   }
   for (const auto& change : changes) {
-    if (first && change.read_error.empty())
+    if (first && change.read_error.empty() && change.unread_parts.empty())
       continue;
     directory_log_line line{change.removed ? "entry removed" : "entry changed",
                             {{"kind", std::string(name_of(kind))},
@@ -276,6 +290,11 @@
     if (!change.read_error.empty()) {
       line.message = "entry unreadable";
       line.fields.emplace_back("reason", change.read_error);
+    } else if (!change.unread_parts.empty()) {
+      line.message = "entry read in part";
+      line.fields.emplace_back("unread",
+                               std::to_string(change.unread_parts.size()));
+      line.fields.emplace_back("first_reason", change.unread_parts.front());
     }
     out->push_back(std::move(line));
   }
@@ -389,6 +408,18 @@
   return input;
 }
 
+std::array<size_t, directory_kinds> directory_core::count_unread() const {
+  std::array<size_t, directory_kinds> out{};
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    for (const auto& [name, entry] : syncs_[i].replica.entries()) {
+      if (entry.registered)
+        out[i] +=
+            entry.unread_parts.size() + (entry.read_error.empty() ? 0 : 1);
+    }
+  }
+  return out;
+}
+
 std::vector<uint64_t> directory_core::alive_zone_ids(time_us now) const {
   std::vector<uint64_t> out;
   for (const known_peer* peer : peers_.alive_in_zone(now))
@@ -405,7 +436,7 @@
   out->push_back(publish_table{
       std::make_shared<const forwarding_table>(make_table_input()),
       published_balancers_, alive_zone_ids(now), published_silent_zones_,
-      sync_of(directory_kind::targets).last_call_failed});
+      sync_of(directory_kind::targets).last_call_failed, count_unread()});
   if (first)
     announce_to_group(now, out);
   if (!early_reports_.empty())
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -382,7 +382,11 @@
       out.removed_names.push_back(name);
       out.removed_revisions.push_back(entry.removed_revision);
     }
-    if (!entry.usable())
+    // Of a configuration that became unreadable, the last readable one stays in
+    // force; a balancer that starts now has no earlier one.
+    const bool last_readable = kind == directory_kind::routing &&
+                               entry.registered && entry.value != nullptr;
+    if (!entry.usable() && !last_readable)
       continue;
     out.names.push_back(name);
     out.revisions.push_back(entry.revision);
--- a/packages/coordination/src/directory_replica.cpp
+++ b/packages/coordination/src/directory_replica.cpp
@@ -53,10 +53,12 @@
   entry.revision = change.revision;
   entry.registered = true;
   entry.read_error = change.read_error;
+  entry.unread_parts = change.unread_parts;
   if (change.value != nullptr)
     entry.value = change.value;
   track(change.name, entry);
-  out->push_back({change.name, change.revision, false, change.read_error});
+  out->push_back({change.name, change.revision, false, change.read_error,
+                  change.unread_parts});
 }
 
 void directory_replica::remove(time_us now,
@@ -72,7 +74,7 @@
   it->second.removed_at = now;
   it->second.removed_revision = revision;
   track(name, it->second);
-  out->push_back({name, revision, true, ""});
+  out->push_back({name, revision, true, "", {}});
 }
 
 void directory_replica::advance(uint64_t revision) {
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -230,9 +230,16 @@
     msgpack::object const& operator()(msgpack::object const& o,
                                       E& value) const {
       const auto number = o.as<uint64_t>();
-      if (number >= static_cast<uint64_t>(E::end))
+      if (number < static_cast<uint64_t>(E::end)) {
+        value = static_cast<E>(number);
+        return o;
+      }
+      // A newer peer may know further kinds of routes; one of them must not
+      // cost the whole configuration.
+      if constexpr (std::is_same_v<E, turmeric::route_kind>)
+        value = turmeric::route_kind::unsafe;
+      else
         throw type_error();
-      value = static_cast<E>(number);
       return o;
     }
   };
--- a/packages/state/include/turmeric/state/directory_type.h
+++ b/packages/state/include/turmeric/state/directory_type.h
@@ -51,8 +51,9 @@
   uint32_t weight = 0;
 };
 
-/** Kind of the requests in the flows of a route. */
-enum class route_kind : uint8_t { safe, unsafe, download, end };
+/** Kind of the requests in the flows of a route. Requests of kinds other than
+ * `safe` and `download` run at most once. */
+enum class route_kind : uint8_t { safe, unsafe, download, upload, end };
 
 /** @return The name of @p kind in logs and metrics. */
 std::string_view name_of(route_kind kind);
@@ -101,15 +102,31 @@
   /** Null if the entry was removed or cannot be decoded. */
   std::shared_ptr<const directory_value> value;
   std::string read_error;  ///< Why the entry cannot be decoded, else empty.
+  /** Parts of the value that could not be decoded, with the reason. They were
+   * left out or have their default. */
+  std::vector<std::string> unread_parts;
 };
 
 /** Operations on the registry. */
 enum class registry_op : uint8_t { list, watch };
 
+/** What a call to the registry is made for. */
+enum class registry_call_cause : uint8_t {
+  list,      ///< All entries, as none are known or the history is gone.
+  watch,     ///< The next change; waits for it.
+  catch_up,  ///< The changes since the known revision, at once.
+  retry,     ///< The same after a failed call.
+  end
+};
+
+/** @return The name of @p cause in logs and metrics. */
+std::string_view name_of(registry_call_cause cause);
+
 /** A call to the registry. */
 struct registry_call {
   uint64_t id = 0;
   registry_op op = registry_op::list;
+  registry_call_cause cause = registry_call_cause::list;
   directory_kind kind = directory_kind::targets;
   uint64_t revision = 0;  ///< watch: return the changes after this revision.
   std::string after;      ///< list: return the entries after this name.
@@ -139,6 +156,7 @@
   registry_status status = registry_status::unreachable;
   uint64_t revision = 0;  ///< `changes` is complete up to this revision.
   bool has_more = false;  ///< list: there is another page.
+  size_t nameless = 0;    ///< Entries left out: their names are unreadable.
   std::vector<directory_change> changes;
 };
 
--- a/packages/state/include/turmeric/state/table/metrics.h
+++ b/packages/state/include/turmeric/state/table/metrics.h
@@ -80,12 +80,18 @@
                 "revisions",
                 "kind",
                 "Revision at which each kind is known.")
+TURMERIC_METRIC(unread,
+                "turmeric_directory_unread",
+                "gauge",
+                "parts",
+                "kind",
+                "Entries, or parts of them, that cannot be read.")
 TURMERIC_METRIC(calls,
                 "turmeric_registry_calls_total",
                 "counter",
                 "calls",
-                "kind,status",
-                "Calls to the registry, by how they ended.")
+                "kind,cause,status",
+                "Calls to the registry, by what for and how they ended.")
 TURMERIC_METRIC(peers,
                 "turmeric_peers",
                 "gauge",
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -96,9 +96,9 @@
   udp::endpoint peer_sender_;
   http_server ready_server_;
   http_server metrics_server_;
-  std::map<std::pair<directory_kind, registry_status>, uint64_t>
-      registry_calls_;
-  size_t peer_count_ = 0;  ///< Other live balancers.
+  registry_call_counts registry_calls_;
+  size_t peer_count_ = 0;                         ///< Other live balancers.
+  std::array<size_t, directory_kinds> unread_{};  ///< As in publish_table.
   std::vector<std::string> silent_zones_;
   time_us started_ = boot_now();
   asio_ns::signal_set signals_{loop_, SIGTERM, SIGINT, SIGHUP};
@@ -258,7 +258,7 @@
                  reply = platform::read_reply(call, answer.status, answer.body,
                                               boot_now());
                }
-               ++registry_calls_[{call.kind, reply.status}];
+               ++registry_calls_[{call.kind, call.cause, reply.status}];
                directory_->deliver(std::move(reply));
              });
 }
@@ -289,6 +289,7 @@
          {"targets", fmt::format("{}", publication.table->targets().size())}});
   }
   peer_count_ = publication.balancers.size();
+  unread_ = publication.unread;
   silent_zones_.assign(publication.silent_zones.begin(),
                        publication.silent_zones.end());
   segments_.publish(
@@ -333,6 +334,7 @@
   out.uptime = boot_now() - started_;
   out.peer_count = peer_count_;
   out.silent_zones = silent_zones_;
+  out.unread = unread_;
   out.registry_calls = registry_calls_;
   return out;
 }
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -119,10 +119,16 @@
     out.add(metric::revision, static_cast<double>(snapshot.revisions[i]),
             {{"kind", std::string(name_of(static_cast<directory_kind>(i)))}});
   }
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    out.add(metric::unread, static_cast<double>(status.unread[i]),
+            {{"kind", std::string(name_of(static_cast<directory_kind>(i)))}});
+  }
   for (const auto& [key, count] : status.registry_calls) {
-    out.add(metric::calls, static_cast<double>(count),
-            {{"kind", std::string(name_of(key.first))},
-             {"status", std::string(name_of(key.second))}});
+    out.add(
+        metric::calls, static_cast<double>(count),
+        {{"kind", std::string(name_of(std::get<directory_kind>(key)))},
+         {"cause", std::string(name_of(std::get<registry_call_cause>(key)))},
+         {"status", std::string(name_of(std::get<registry_status>(key)))}});
   }
   out.add(metric::peers, static_cast<double>(status.peer_count));
   out.add(metric::silent_zones,
--- a/packages/transport/src/forwarding/forwarder_pages.h
+++ b/packages/transport/src/forwarding/forwarder_pages.h
@@ -4,12 +4,18 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "turmeric/state/directory_type.h"
 #include "turmeric/transport/segment_runner_base.h"
 
 namespace turmeric {
 
+/** Number of registry calls, by kind, cause and status of the reply. */
+using registry_call_counts =
+    std::map<std::tuple<directory_kind, registry_call_cause, registry_status>,
+             uint64_t>;
+
 /** State of the event loop, shown together with a traffic_snapshot. */
 struct forwarder_status {
   std::string name;
@@ -20,8 +26,9 @@
   size_t peer_count = 0;  ///< Other live balancers.
   /** No heartbeats arrive from their balancers. */
   std::vector<std::string> silent_zones;
-  /** Number of registry calls, by kind and status of the reply. */
-  std::map<std::pair<directory_kind, registry_status>, uint64_t> registry_calls;
+  /** Entries and parts of entries that cannot be read, by kind. */
+  std::array<size_t, directory_kinds> unread{};
+  registry_call_counts registry_calls;
 };
 
 /** @return The metrics in the Prometheus text exposition format. */
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -162,6 +163,9 @@
   uint64_t openings = 0;
   uint64_t refused = 0;
   uint64_t registry_calls = 0;
+  /** The same by kind and cause. */
+  std::map<std::pair<directory_kind, registry_call_cause>, uint64_t>
+      calls_by_cause;
   uint64_t peer_messages = 0;
   /** Most loaded target over the mean of the first service, by openings in a
    * second; mean over all seconds. */
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -242,7 +242,10 @@
 }
 
 void emu_world::execute_one(balancer* b, const registry_call& call) {
-  report_.registry_calls += warm_up_over() ? 1 : 0;
+  if (warm_up_over()) {
+    ++report_.registry_calls;
+    ++report_.calls_by_cause[{call.kind, call.cause}];
+  }
   const uint64_t generation = b->generation;
   // The call fails at its timeout unless a reply arrived before.
   auto open = std::make_shared<bool>(true);
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -104,6 +104,9 @@
       "{}\n",
       seed, report.openings, report.refused, report.registry_calls,
       report.peer_messages);
+  for (const auto& [key, calls] : report.calls_by_cause)
+    fmt::print("seed {}: calls {} {}: {}\n", seed, name_of(key.first),
+               name_of(key.second), calls);
   fmt::print("seed {}: share in time by second:", seed);
   for (const auto& [asked, served] : report.by_second)
     fmt::print(" {:.2f}", asked == 0 ? 1.0
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -117,6 +117,23 @@
   return complete_messages;
 }
 
+// A peer of a later version may know kinds of routes that this one does not.
+BOOST_AUTO_TEST_CASE(route_of_unknown_kind_is_decoded_as_unsafe) {
+  const auto c = context("x", key_a);
+  peer_directory_delta m = make_peer_directory(2);
+  m.routings[0].routes[0].kind =
+      static_cast<route_kind>(static_cast<int>(route_kind::end) + 3);
+  const auto datagrams = encode_datagrams(c, m, 1);
+  BOOST_REQUIRE(datagrams.size() == 1u);
+  auto decoded =
+      decode_peer_message(c, datagrams[0].data(), datagrams[0].size());
+  BOOST_REQUIRE(decoded);
+  const auto& directory = std::get<peer_directory_delta>(decoded.value());
+  BOOST_REQUIRE(directory.routings.size() == 1u);
+  BOOST_REQUIRE(directory.routings[0].routes.size() == 2u);
+  BOOST_TEST((directory.routings[0].routes[0].kind == route_kind::unsafe));
+}
+
 BOOST_AUTO_TEST_CASE(round_trip_keeps_target_reports) {
   const auto c = context("x", key_a);
   peer_reports m{
--- a/tests/unit/directory_fixture.h
+++ b/tests/unit/directory_fixture.h
@@ -106,8 +106,11 @@
         calls[static_cast<size_t>(call->kind)] = *call;
       if (auto* sent = std::get_if<send_peer_message>(&action))
         messages.push_back(*sent);
-      if (auto* published = std::get_if<publish_table>(&action))
-        table = published->table, registry_lost = published->registry_lost;
+      if (auto* published = std::get_if<publish_table>(&action)) {
+        table = published->table;
+        registry_lost = published->registry_lost;
+        unread = published->unread;
+      }
       if (const auto* line = std::get_if<directory_log_line>(&action))
         log_messages.push_back(line->message);
     }
@@ -162,6 +165,7 @@
   std::vector<std::string> log_messages;
   std::shared_ptr<const forwarding_table> table;
   bool registry_lost = false;
+  std::array<size_t, directory_kinds> unread{};
 };
 
 }  // namespace turmeric
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -165,6 +165,54 @@
   BOOST_TEST(f.eligible_count() == 1u);
 }
 
+// A configuration that another writer made unreadable stays in force, also on a
+// balancer that starts afterwards and gets it from a peer, and after the time
+// for which removed entries are kept.
+BOOST_AUTO_TEST_CASE(last_readable_configuration_stays_in_force) {
+  directory_fixture f;
+  f.load();
+  directory_change broken;
+  broken.name = "main";
+  broken.revision = 20;
+  broken.read_error = "no field version";
+  f.reply(directory_kind::routing, 20, {broken});
+  BOOST_TEST(f.table->routing_version() == 1u);
+  peer_hello started =
+      hello_of("front-2", "north", peer_address, hash_name("front-2"));
+  started.requested_kinds = 1U
+                            << static_cast<uint32_t>(directory_kind::routing);
+  f.messages.clear();
+  f.handle(f.core.on_peer_message(f.now, started));
+  directory_fixture starting(options_of("front-2", peer_address));
+  for (const auto& m : f.messages)
+    starting.handle(starting.core.on_peer_message(starting.now, m.body));
+  starting.reply(directory_kind::targets, 20,
+                 {entry("i-1", 3, make_target("i-1"))});
+  starting.reply(directory_kind::withdrawals, 20, {});
+  BOOST_REQUIRE(starting.table != nullptr);
+  BOOST_TEST(starting.table->routing_version() == 1u);
+
+  f.reply(directory_kind::routing, 21, {removal("main", 21)});
+  f.advance(directory_options().removed_retention + 10 * us_per_s);
+  f.reply(directory_kind::targets, 30, {entry("i-2", 30, make_target("i-2"))});
+  BOOST_TEST(f.eligible_count() == 2u);
+  BOOST_TEST(f.table->routing_version() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(unread_parts_are_logged_and_counted) {
+  directory_fixture f;
+  f.load();
+  directory_change partial = entry("main", 20, make_routing(2));
+  partial.unread_parts = {"route 'a': unknown route type 'x'", "limits"};
+  f.reply(directory_kind::routing, 20, {partial});
+  BOOST_TEST(f.table->routing_version() == 2u);
+  BOOST_TEST(std::count(f.log_messages.begin(), f.log_messages.end(),
+                        "entry read in part") == 1);
+  BOOST_TEST(f.unread[static_cast<size_t>(directory_kind::routing)] == 2u);
+  f.reply(directory_kind::routing, 21, {entry("main", 21, make_routing(3))});
+  BOOST_TEST(f.unread[static_cast<size_t>(directory_kind::routing)] == 0u);
+}
+
 struct watching_row {
   const char* name;
   size_t peers;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -240,6 +240,203 @@
   BOOST_TEST(routing.idle_timeout == 15 * us_per_s);
 }
 
+struct routing_row {
+  const char* name;
+  const char* spec;
+  size_t routes;  ///< That are in force.
+  size_t services;
+  size_t unread_parts;
+};
+
+/** A route named r-b and a service, which no row of the tables below breaks. */
+constexpr const char* valid_route =
+    R"({"name":"r-b","host":"198.18.0.1","path_prefix":"/8080/",)"
+    R"("route_type":"safe","service":"a"})";
+constexpr const char* valid_service =
+    R"({"name":"a","max_conns":2000,"cold_per_s":1.5})";
+
+directory_change read_routing_spec(const std::string& spec) {
+  const std::string body =
+      R"({"items":[{"meta":{"name":"main","revision":4,"created_rev":3},)"
+      R"("spec":)" +
+      spec + R"(}],"has_more":false,"store_revision":9})";
+  const auto reply = platform::read_reply(
+      make_list_call(directory_kind::routing), http_ok, body, now);
+  BOOST_REQUIRE((reply.status == registry_status::ok));
+  BOOST_REQUIRE(reply.changes.size() == 1u);
+  return reply.changes[0];
+}
+
+struct route_row {
+  const char* name;
+  const char* route;  ///< Read beside `valid_route`.
+  size_t routes;
+  size_t unread_parts;
+};
+
+// One route of a type unknown here made the whole configuration unreadable, so
+// that a balancer that started with it served no route at all.
+BOOST_AUTO_TEST_CASE(unreadable_part_of_a_route_costs_only_that_part) {
+  const route_row rows[] = {
+      {"of a known type",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"upload","service":"a"})",
+       2, 0},
+      {"of an unknown type",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"stream","service":"a"})",
+       2, 1},
+      {"type is a number",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":7,"service":"a"})",
+       2, 1},
+      {"no type",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("service":"a"})",
+       2, 1},
+      {"no name",
+       R"({"host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"safe","service":"a"})",
+       2, 1},
+      {"times, priority of another type",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"safe","service":"a","timeout_ms":"1","priority":-1,)"
+       R"("target_latency_ms":[]})",
+       2, 3},
+      {"priority beyond 32 bits",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"safe","service":"a","priority":1e300})",
+       2, 1},
+      {"host is a name",
+       R"({"name":"r","host":"example","path_prefix":"/9000/",)"
+       R"("route_type":"safe","service":"a"})",
+       1, 1},
+      {"no port",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/",)"
+       R"("route_type":"safe","service":"a"})",
+       1, 1},
+      {"no service",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"safe"})",
+       1, 1},
+      {"one of two services is unreadable",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"safe","service":"a","backends":[{"service":"a",)"
+       R"("weight":1},{"service":"b","weight":"2"}]})",
+       2, 1},
+      {"both services are unreadable",
+       R"({"name":"r","host":"198.18.0.1","path_prefix":"/9000/",)"
+       R"("route_type":"safe","service":"a","backends":[7,)"
+       R"({"service":"b","weight":-2}]})",
+       2, 2},
+      {"a number", "7", 1, 1},
+      {"nothing", "null", 1, 1},
+      {"a list", "[[]]", 1, 1},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      const auto change = read_routing_spec(
+          R"({"version":7,"routes":[)" + std::string(row.route) + "," +
+          valid_route + R"(],"services":[)" + valid_service + "]}");
+      BOOST_TEST(change.read_error.empty());
+      BOOST_REQUIRE(change.value != nullptr);
+      const auto& routing = std::get<routing_entry>(*change.value);
+      BOOST_TEST(routing.routes.size() == row.routes);
+      BOOST_TEST(routing.routes.back().name == "r-b");
+      BOOST_TEST(change.unread_parts.size() == row.unread_parts);
+    }
+  }
+}
+
+// A route whose type is not known here may carry requests that must not run
+// twice.
+BOOST_AUTO_TEST_CASE(route_of_unknown_type_counts_as_unsafe) {
+  const auto change = read_routing_spec(
+      R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1",)"
+      R"("path_prefix":"/9000/","route_type":"stream","service":"a"}],)"
+      R"("services":[]})");
+  BOOST_REQUIRE(change.value != nullptr);
+  const auto& routing = std::get<routing_entry>(*change.value);
+  BOOST_REQUIRE(routing.routes.size() == 1u);
+  BOOST_TEST((routing.routes[0].kind == route_kind::unsafe));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_part_of_a_configuration_costs_only_that_part) {
+  const routing_row rows[] = {
+      {"no limits", R"("services":[SERVICE])", 1, 1, 0},
+      {"limits are a list", R"("services":[SERVICE],"limits":[1])", 1, 1, 1},
+      {"idle timeout is text",
+       R"("services":[SERVICE],"limits":{"idle_timeout_ms":"9"})", 1, 1, 1},
+      {"services are missing", R"("x":1)", 1, 0, 1},
+      {"services are text", R"("services":"a")", 1, 0, 1},
+      {"service without a name", R"("services":[{"max_conns":1},SERVICE])", 1,
+       1, 1},
+      {"service is a number", R"("services":[1,SERVICE])", 1, 1, 1},
+      {"limits of a service of another type",
+       R"("services":[{"name":"b","max_conns":-1,"cold_per_s":"x"},SERVICE])",
+       1, 2, 2},
+      {"connections beyond 32 bits",
+       R"("services":[{"name":"b","max_conns":1e18},SERVICE])", 1, 2, 1},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      std::string rest = row.spec;
+      const auto at = rest.find("SERVICE");
+      if (at != std::string::npos)
+        rest.replace(at, std::string("SERVICE").size(), valid_service);
+      const auto change =
+          read_routing_spec(R"({"version":7,"routes":[)" +
+                            std::string(valid_route) + "]," + rest + "}");
+      BOOST_TEST(change.read_error.empty());
+      BOOST_REQUIRE(change.value != nullptr);
+      const auto& routing = std::get<routing_entry>(*change.value);
+      BOOST_TEST(routing.routes.size() == row.routes);
+      BOOST_TEST(routing.services.size() == row.services);
+      BOOST_TEST(change.unread_parts.size() == row.unread_parts);
+    }
+  }
+}
+
+// Without a version or a list of routes nothing says what is in force; the
+// previous configuration stays.
+BOOST_AUTO_TEST_CASE(configuration_without_version_or_routes_is_unreadable) {
+  for (const std::string spec :
+       {R"({"routes":[],"services":[]})", R"({"version":"7","routes":[]})",
+        R"({"version":-1,"routes":[]})", R"({"version":7})",
+        R"({"version":7,"routes":{}})", "[]", "null", "3"}) {
+    BOOST_TEST_CONTEXT(spec) {
+      const auto change = read_routing_spec(spec);
+      BOOST_TEST(change.value == nullptr);
+      BOOST_TEST(!change.read_error.empty());
+    }
+  }
+}
+
+// The next page of a list starts after the last name of the page before. An
+// entry without a readable name at its end made the list start again.
+BOOST_AUTO_TEST_CASE(entries_without_a_name_are_left_out_and_counted) {
+  const char* const bodies[] = {
+      R"({"items":[7,{"meta":{"revision":4}},{"meta":{"name":"i-1",)"
+      R"("revision":5,"created_rev":5},"spec":null},{"meta":null}],)"
+      R"("has_more":true,"store_revision":9})",
+      R"({"events":[{},{"object":7,"deleted":true},{"object":{"meta":{"name":)"
+      R"("i-1","revision":5,"created_rev":5},"spec":null},"deleted":false},)"
+      R"({"object":{"meta":{"revision":1}},"deleted":1}],"store_revision":9})",
+  };
+  for (const char* body : bodies) {
+    BOOST_TEST_CONTEXT(body) {
+      registry_call call = make_list_call(directory_kind::targets);
+      if (std::string(body).find("events") != std::string::npos)
+        call.op = registry_op::watch;
+      const auto reply = platform::read_reply(call, http_ok, body, now);
+      BOOST_TEST((reply.status == registry_status::ok));
+      BOOST_REQUIRE(reply.changes.size() == 1u);
+      BOOST_TEST(reply.changes[0].name == "i-1");
+      BOOST_TEST(reply.nameless == 3u);
+    }
+  }
+}
+
 struct reply_row {
   const char* name;
   int http_status;
