--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -26,13 +26,15 @@
   watcher_selection_options selection;
   std::vector<endpoint> seeds;  ///< Addresses of peers to contact.
   uint64_t incarnation = 0;     ///< Start of the process, Unix microseconds.
-  /** Longest wait of one watch, within which a dead connection is detected;
-   * below the bounds on the propagation of changes, which are seconds. */
-  time_us watch_wait = 2500 * us_per_ms;
-  /** The same in a group with passive balancers; shorter, since their
-   * `watcher_timeout` starts only when this balancer has detected the loss of
-   * the registry. */
-  time_us large_group_watch_wait = 1200 * us_per_ms;
+  /** Longest wait of one watch. A connection that went silent while the
+   * registry or the path to it failed is detected within it, which has to be
+   * less than the shortest calm time (4 s) and bound (3 s) of the platform
+   * together. */
+  time_us watch_wait = 5 * us_per_s;
+  /** A watch that has waited this long and lags behind a peer all the time is
+   * started anew: its connection is dead. Above the answer time of a slow
+   * registry. */
+  time_us overdue_watch_time = 700 * us_per_ms;
   /** Time from the start in which peers can send their state before this
    * balancer calls the registry; several times the latency of a heartbeat. */
   time_us startup_grace = 30 * us_per_ms;
@@ -68,8 +70,13 @@
    * timeout is the sum of both. */
   time_us watch_timeout_margin = 700 * us_per_ms;
   /** Pause after a watch that brought changes, so that changes in quick
-   * succession cost one call; small against the bounds on their propagation. */
+   * succession cost one call. It doubles with each watch that brings some
+   * within `watch_batch_reset` of the one before. */
   time_us watch_batch_pause = 100 * us_per_ms;
+  /** Upper bound of that pause; small against the bounds on propagation, which
+   * are seconds. */
+  time_us max_watch_batch_pause = 400 * us_per_ms;
+  time_us watch_batch_reset = us_per_s;
   /** First timeout of a list, doubled after each failure: a list of 400 KB
    * takes half a second on the smallest instances and links. */
   time_us list_timeout = 1200 * us_per_ms;
@@ -191,11 +198,17 @@
     bool must_list = true;
     bool catch_up = false;  ///< The next watch is sent without a wait.
     time_us next_call = 0;
+    time_us call_started = 0;
+    time_us last_change = 0;  ///< Last watch that brought changes.
+    time_us batch_pause = 0;  ///< Pause after it.
+    /** Since when some peer has had a newer revision than `ahead_of`. */
+    time_us ahead_since = 0;
+    uint64_t ahead_of = 0;
     uint32_t pulls = 0;     ///< Pulls from peers before the first state.
     time_us last_pull = 0;  ///< Of all entries, from any peer; 0 if none.
     uint32_t failures = 0;
     bool last_call_failed = false;
-    watch_role role = watch_role::small_group;
+    watch_role role = watch_role::small_zone;
     bool load_logged = false;  ///< The first state has been logged.
     uint64_t list_revision = 0;
     time_us list_started = 0;
@@ -235,6 +248,11 @@
                            actions* out);
   void catch_up_all(time_us now, const std::string& cause, actions* out);
   void start_catch_up(time_us now, directory_kind kind, actions* out);
+  /** @return The pause after a watch that brought changes. */
+  time_us next_batch_pause(time_us now, kind_sync* sync) const;
+  /** Starts a watch anew that should have returned what a peer has.
+   * @return Whether a peer has been ahead for `anti_entropy_delay`. */
+  bool update_ahead(time_us now, directory_kind kind, actions* out);
   void publish(time_us now, actions* out);
   std::vector<uint64_t> alive_zone_ids(time_us now) const;
   table_input make_table_input() const;
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -66,6 +66,14 @@
   started,   ///< The first one of a process.
 };
 
+/** Which peers get a heartbeat in each round, beside those chosen by
+ * round-robin. */
+enum class round_scope : uint8_t {
+  none,
+  group,             ///< The own group.
+  group_and_relays,  ///< Also the relays of the zone's other groups.
+};
+
 class peer_table {
  public:
   explicit peer_table(peer_options options);
@@ -76,9 +84,8 @@
   hello_result on_hello(time_us now, const peer_hello& hello);
 
   /** Removes expired peers and starts a round.
-   * @param whole_group Whether to include all known peers of the group.
    * @return The addresses to send heartbeats to, chosen by round-robin. */
-  std::vector<endpoint> next_round(time_us now, bool whole_group);
+  std::vector<endpoint> next_round(time_us now, round_scope scope);
 
   /** Time between rounds. */
   time_us interval() const;
@@ -86,6 +93,9 @@
   /** @return Live peers of the own group that are not leaving. */
   std::vector<const known_peer*> alive_in_group(time_us now) const;
 
+  /** @return Live relays of the own zone's other groups. */
+  std::vector<const known_peer*> alive_relays(time_us now) const;
+
   /** @return Live peers of the own zone that are not leaving. */
   std::vector<const known_peer*> alive_in_zone(time_us now) const;
 
--- a/packages/coordination/include/turmeric/coordination/watcher_selection_base.h
+++ b/packages/coordination/include/turmeric/coordination/watcher_selection_base.h
@@ -1,11 +1,13 @@
-/** @file watcher_selection_base.h Selects the balancers of a group that watch
- * the registry.
+/** @file watcher_selection_base.h Selects the balancers of an availability zone
+ * that watch the registry.
  *
- * Calls to the registry are limited and must not grow with the fleet. In a
- * small group all balancers watch. In a large one a few do, chosen by
- * rendezvous hash, and push changes to the others. When no heartbeat of a
- * watching balancer has arrived for `watcher_timeout`, the others start to
- * watch, one after the other.
+ * Calls to the registry are limited and priced, and must grow neither with the
+ * balancers of a zone nor with its groups. In a small zone all balancers watch.
+ * In a large one a few do, chosen by rendezvous hash. They push changes to
+ * their group and to a few relays in each other group of the zone, which push
+ * them on. When no heartbeat of a watching balancer has arrived for
+ * `watcher_timeout`, the others start to watch, one after the other: the relays
+ * first, then the balancers of groups without a live relay.
  */
 #ifndef TURMERIC_COORDINATION_WATCHER_SELECTION_BASE_H_
 #define TURMERIC_COORDINATION_WATCHER_SELECTION_BASE_H_
@@ -16,16 +18,21 @@
 
 /** Sizes and times of the selection. */
 struct watcher_selection_options {
-  /** Balancers of a group up to which all watch. */
-  size_t small_group_size = 4;
-  /** Balancers that watch in a larger group. Two, so that one still watches
+  /** Balancers of a zone up to which all watch. */
+  size_t small_zone_size = 4;
+  /** Balancers that watch in a larger zone. Two, so that one still watches
    * while the failure of the other is not detected yet. */
   size_t watchers = 2;
+  /** Relays of a group without watching balancers; two for the same reason. */
+  size_t relays = 2;
   /** Passive balancers start to watch when no heartbeat of a watching balancer
    * has arrived for this long: twice the interval of these heartbeats and some
    * delay. */
   time_us watcher_timeout = 1200 * us_per_ms;
-  /** Balancers of a group that read the registry first when many start at
+  /** Time that the other balancers of a group wait beyond it, in which a relay
+   * that lost its watching balancers starts to watch itself. */
+  time_us relay_takeover = 600 * us_per_ms;
+  /** Balancers of a zone that read the registry first when many start at
    * once. More than the watchers, since some may be slow, or their first
    * heartbeats may not have arrived yet. */
   size_t startup_readers = 4;
@@ -39,39 +46,55 @@
   size_t max_staggered_ranks = 10;
 };
 
-/** Whether this balancer is to watch the registry, and why. */
+/** How this balancer gets the changes of a kind. */
 enum class watch_role : uint8_t {
-  small_group,  ///< Watches, as all balancers of a small group do.
-  selected,     ///< Watches, selected by its rank in the group.
-  fallback,     ///< Watches: no heartbeats of watching balancers arrive.
-  passive       ///< Does not watch; relies on the watching balancers.
+  small_zone,  ///< Watches, as all balancers of a small zone do.
+  selected,    ///< Watches, selected by its rank in the zone.
+  fallback,    ///< Watches: no heartbeats of a balancer that feeds it arrive.
+  relay,       ///< Gets pushes of watching balancers, pushes to its group.
+  passive      ///< Gets pushes of its group's relays or watching balancers.
 };
 
+/** @return Whether a balancer of this role watches the registry. */
+inline bool watches_registry(watch_role role) {
+  return role != watch_role::relay && role != watch_role::passive;
+}
+
 /** Selects the role of one balancer. */
 class watcher_selection {
  public:
   watcher_selection(watcher_selection_options options, std::string name);
 
-  /** @return Whether and why this balancer watches @p kind. Anything but
-   * `passive` means that it does. */
+  /** @return The role of this balancer for @p kind. */
   watch_role decide(time_us now, directory_kind kind, const peer_table& peers);
 
-  /** @return Whether this balancer is among the few of its group that read the
+  /** @return Whether this balancer is among the few of its zone that read the
    * registry first when many start at once. */
   bool is_startup_reader(time_us now, const peer_table& peers) const;
 
-  /** @return Whether the group is above the size up to which all watch, so
-   * that it may have passive balancers. */
-  bool group_is_large(time_us now, const peer_table& peers) const;
+  /** @return Whether the zone is above the size up to which all watch, so that
+   * it may have passive balancers. */
+  bool zone_is_large(time_us now, const peer_table& peers) const;
 
  private:
+  /** When heartbeats arrived last; 0 before the first decision. */
+  struct heard_times {
+    time_us watcher = 0;  ///< Of a watching balancer of the zone.
+    time_us feeder = 0;   ///< Of the group's watching balancers and relays.
+  };
+
   size_t rank_among(const std::vector<const known_peer*>& others) const;
+  void update_heard(time_us now,
+                    directory_kind kind,
+                    const std::vector<const known_peer*>& zone,
+                    const std::vector<const known_peer*>& group);
+  /** @return Stagger of a balancer that is @p rank places behind the first that
+   * would take over. */
+  time_us stagger(size_t rank) const;
 
   watcher_selection_options options_;
   std::string name_;
-  /** By kind, when the last heartbeat of a watching balancer of the group
-   * arrived; 0 before the first decision. */
-  std::array<time_us, directory_kinds> watcher_heard_{};
+  std::array<heard_times, directory_kinds> heard_{};
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -108,11 +108,10 @@
                            options_.max_probe_timeout);
   } else {
     call.cause = registry_call_cause::watch;
-    call.wait = selection_.group_is_large(now, peers_)
-                    ? options_.large_group_watch_wait
-                    : options_.watch_wait;
+    call.wait = options_.watch_wait;
     call.timeout = call.wait + options_.watch_timeout_margin;
   }
+  sync.call_started = now;
   sync.next_call = now + call.timeout;
   out->push_back(call);
 }
@@ -154,18 +153,29 @@
     const bool has_changes =
         sync_of(kind).op == registry_op::watch && !reply.changes.empty();
     sync_of(kind).next_call =
-        has_changes ? now + options_.watch_batch_pause : now;
+        has_changes ? now + next_batch_pause(now, sync) : now;
     if (call_due(now, kind))
       start_call(now, kind, &out);
   }
   return out;
 }
 
+time_us directory_core::next_batch_pause(time_us now, kind_sync* sync) const {
+  const bool in_succession =
+      sync->last_change != 0 &&
+      now - sync->last_change < options_.watch_batch_reset;
+  sync->last_change = now;
+  sync->batch_pause = in_succession ? std::min(2 * sync->batch_pause,
+                                               options_.max_watch_batch_pause)
+                                    : options_.watch_batch_pause;
+  return sync->batch_pause;
+}
+
 bool directory_core::is_watching(directory_kind kind) const {
   const kind_sync& sync = syncs_[static_cast<size_t>(kind)];
   return sync.op == registry_op::watch && !sync.must_list &&
          !sync.last_call_failed && !sync.catch_up &&
-         sync.role != watch_role::passive;
+         watches_registry(sync.role);
 }
 
 bool directory_core::call_due(time_us now, directory_kind kind) {
@@ -179,7 +189,7 @@
   if (!sync.replica.loaded() || sync.must_list || sync.catch_up)
     return true;
   sync.role = selection_.decide(now, kind, peers_);
-  if (sync.role != watch_role::passive)
+  if (watches_registry(sync.role))
     return true;
   sync.next_call = now + options_.selection.check_interval;
   return false;
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -89,6 +89,8 @@
   for (uint32_t i = 0; i < directory_kinds; ++i) {
     if (is_watching(static_cast<directory_kind>(i)))
       hello.watched_kinds |= 1U << i;
+    if (syncs_[i].role == watch_role::relay && syncs_[i].replica.loaded())
+      hello.relayed_kinds |= 1U << i;
   }
   return hello;
 }
@@ -100,8 +102,13 @@
   next_round_ = now + (cut_off ? options_.isolated_heartbeat_interval
                                : peers_.interval());
   const peer_hello hello = make_hello(now);
-  // The passive balancers of the group rely on heartbeats of the watching ones.
-  for (const endpoint& to : peers_.next_round(now, hello.watched_kinds != 0))
+  // Passive balancers and relays rely on the heartbeats of those that feed
+  // them.
+  const round_scope scope = hello.watched_kinds != 0
+                                ? round_scope::group_and_relays
+                            : hello.relayed_kinds != 0 ? round_scope::group
+                                                       : round_scope::none;
+  for (const endpoint& to : peers_.next_round(now, scope))
     out->push_back(send_peer_message{to, hello});
   if (peers_.alive_ids(now) != published_balancers_ ||
       peers_.silent_zones(now) != published_silent_zones_)
@@ -254,6 +261,7 @@
   for (uint32_t i = 0; i < directory_kinds; ++i) {
     const directory_summary& own = syncs_[i].replica.summary();
     const directory_summary& theirs = peer->hello.summaries[i];
+    kind_sync& sync = syncs_[i];
     time_us& since = peer->ahead_since[i];
     // A kind that is not loaded is pulled in pull_from_peers().
     if (theirs.revision <= own.revision || theirs.digest == own.digest ||
@@ -261,15 +269,17 @@
       since = 0;
       continue;
     }
-    kind_sync& sync = syncs_[i];
-    const bool is_passive = sync.role == watch_role::passive;
+    const bool is_passive = !watches_registry(sync.role);
+    const bool overdue = update_ahead(now, static_cast<directory_kind>(i), out);
     // The push to a passive balancer was lost or was too large to be sent.
     if (since == 0 && is_passive)
       requested_if_small |= 1U << i;
     if (since == 0)
       since = now;
     // A balancer that watches may be about to get the change from the registry.
-    if (now - since < options_.anti_entropy_delay)
+    // In a large fleet the next heartbeat of the same peer is seconds away, so
+    // a heartbeat of another one counts, too.
+    if (now - since < options_.anti_entropy_delay && (is_passive || !overdue))
       continue;
     // A passive balancer reads the registry, and pulls only if its last call
     // failed. A watching one always pulls: it has lost its connection without a
@@ -297,6 +307,29 @@
   out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
 }
 
+bool directory_core::update_ahead(time_us now,
+                                  directory_kind kind,
+                                  actions* out) {
+  kind_sync& sync = sync_of(kind);
+  const uint64_t own_revision = sync.replica.summary().revision;
+  if (sync.ahead_since == 0 || sync.ahead_of != own_revision) {
+    sync.ahead_since = now;
+    sync.ahead_of = own_revision;
+  }
+  const bool waiting = sync.call_id != 0 && sync.op == registry_op::watch &&
+                       !sync.catch_up && !sync.last_call_failed;
+  if (waiting && watches_registry(sync.role) &&
+      now - std::max(sync.ahead_since, sync.call_started) >=
+          options_.overdue_watch_time) {
+    out->push_back(
+        directory_log_line{"watch overdue, started anew",
+                           {{"kind", std::string(name_of(kind))},
+                            {"revision", std::to_string(own_revision)}}});
+    start_catch_up(now, kind, out);
+  }
+  return now - sync.ahead_since >= options_.anti_entropy_delay;
+}
+
 void directory_core::push_if_behind(time_us now,
                                     known_peer* peer,
                                     actions* out) {
@@ -345,11 +378,18 @@
 void directory_core::push_to_group(time_us now,
                                    directory_kind kind,
                                    actions* out) {
-  if (!selection_.group_is_large(now, peers_))
+  if (!selection_.zone_is_large(now, peers_))
     return;
   const auto index = static_cast<size_t>(kind);
-  for (const known_peer* live : peers_.alive_in_group(now)) {
-    if (watches(live->hello, kind))
+  const bool is_relay = sync_of(kind).role == watch_role::relay;
+  auto receivers = peers_.alive_in_group(now);
+  if (!is_relay) {
+    const auto zone_relays = peers_.alive_relays(now);
+    receivers.insert(receivers.end(), zone_relays.begin(), zone_relays.end());
+  }
+  for (const known_peer* live : receivers) {
+    // Relays get the change from the watching balancers.
+    if (watches(live->hello, kind) || (is_relay && relays(live->hello, kind)))
       continue;
     peer_directory_delta directory = directory_for(now, kind, live->hello);
     if (!is_small(directory))
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -117,6 +117,16 @@
   return out;
 }
 
+std::vector<const known_peer*> peer_table::alive_relays(time_us now) const {
+  std::vector<const known_peer*> out;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.hello.relayed_kinds != 0 && peer.hello.zone == options_.zone &&
+        !in_group(peer) && alive(now, peer))
+      out.push_back(&peer);
+  }
+  return out;
+}
+
 std::vector<const known_peer*> peer_table::alive_in_zone(time_us now) const {
   std::vector<const known_peer*> out;
   for (const auto& [address, peer] : peers_) {
@@ -151,7 +161,7 @@
   return out;
 }
 
-std::vector<endpoint> peer_table::next_round(time_us now, bool whole_group) {
+std::vector<endpoint> peer_table::next_round(time_us now, round_scope scope) {
   forget_silent(now);
   std::vector<endpoint> group;
   std::vector<endpoint> others;
@@ -160,8 +170,13 @@
       (in_group(peer) ? group : others).push_back(address);
   }
   std::vector<endpoint> out = due_contacts(now);
-  take_round_robin(group, whole_group ? group.size() : options_.group_fanout,
-                   &group_cursor_, &out);
+  take_round_robin(
+      group, scope == round_scope::none ? options_.group_fanout : group.size(),
+      &group_cursor_, &out);
+  if (scope == round_scope::group_and_relays) {
+    for (const known_peer* relay : alive_relays(now))
+      out.push_back(relay->hello.address);
+  }
   take_round_robin(others, options_.other_fanout, &other_cursor_, &out);
   return out;
 }
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -163,7 +163,8 @@
                 m.peers,
                 m.watched_kinds,
                 m.requested_kinds,
-                m.requested_if_small)
+                m.requested_if_small,
+                m.relayed_kinds)
 TURMERIC_FIELDS(target_report,
                 m.token,
                 m.observation,
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -39,12 +39,19 @@
   /** One bit per kind that the receiver is to push only if the push is small; a
    * large one is read from the registry by the sender. */
   uint32_t requested_if_small = 0;
+  /** One bit per kind whose changes it gets from watching balancers and passes
+   * on to its group. */
+  uint32_t relayed_kinds = 0;
 };
 
 inline bool watches(const peer_hello& hello, directory_kind kind) {
   return (hello.watched_kinds >> static_cast<uint32_t>(kind) & 1) != 0;
 }
 
+inline bool relays(const peer_hello& hello, directory_kind kind) {
+  return (hello.relayed_kinds >> static_cast<uint32_t>(kind) & 1) != 0;
+}
+
 /** Push of entries of one kind to a peer with an older revision: the changes
  * since then, or all entries. */
 struct peer_directory_delta {
--- a/tests/unit/directory_fixture.h
+++ b/tests/unit/directory_fixture.h
@@ -126,8 +126,12 @@
              std::vector<directory_change> changes,
              registry_status status = registry_status::ok) {
     // After a reply with changes the next watch starts later.
-    if (call(kind).id == answered_calls[static_cast<size_t>(kind)])
-      advance(directory_options().watch_batch_pause);
+    const time_us step = directory_options().watch_batch_pause;
+    for (time_us waited = 0;
+         waited < directory_options().max_watch_batch_pause &&
+         call(kind).id == answered_calls[static_cast<size_t>(kind)];
+         waited += step)
+      advance(step);
     answered_calls[static_cast<size_t>(kind)] = call(kind).id;
     registry_reply r;
     r.id = call(kind).id;
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -230,6 +230,9 @@
       {"large zone", 19, true, 0, 2, 2},
       {"large zone, watchers silent", 19, true, 4 * us_per_s, 20, 20},
       {"large zone, nobody watches", 19, false, 4 * us_per_s, 20, 20},
+      {"zone of several groups", 119, true, 0, 2, 2},
+      {"zone of several groups, nobody watches", 119, false, 4 * us_per_s, 120,
+       120},
   };
   for (const auto& row : rows) {
     BOOST_TEST_CONTEXT(row.name) {
@@ -251,7 +254,7 @@
         selector.decide(start, directory_kind::targets, peers);
         const auto role = selector.decide(start + row.silent_for,
                                           directory_kind::targets, peers);
-        watching += role == watch_role::passive ? 0 : 1;
+        watching += watches_registry(role) ? 1 : 0;
       }
       BOOST_TEST(watching >= row.min_watchers);
       BOOST_TEST(watching <= row.max_watchers);
@@ -259,6 +262,64 @@
   }
 }
 
+struct relay_row {
+  const char* name;
+  bool watching;       ///< Heartbeats of watching balancers arrive.
+  bool relaying;       ///< Heartbeats of relays arrive.
+  time_us silent_for;  ///< Since the last of these.
+  size_t watchers;
+  size_t relays;
+  size_t passive;
+};
+
+// Each group of a zone had watching balancers of its own, so that the calls to
+// the registry grew with the zone. 120 balancers are four groups.
+BOOST_AUTO_TEST_CASE(groups_without_watchers_are_fed_by_relays) {
+  const relay_row rows[] = {
+      {"all alive", true, true, 0, 2, 6, 112},
+      {"watching balancers silent", false, true, 1500 * us_per_ms, 8, 0, 112},
+      {"relays silent for a moment", true, false, 1500 * us_per_ms, 2, 6, 112},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      constexpr uint32_t balancers = 120;
+      const time_us start = 1000 * us_per_s;
+      size_t watchers = 0;
+      size_t relay_count = 0;
+      size_t passive = 0;
+      for (uint32_t self = 0; self < balancers; ++self) {
+        peer_options options;
+        options.name = "front-" + std::to_string(self);
+        options.zone = "north";
+        options.address = {self + 1, 1};
+        peer_table peers(options);
+        watcher_selection selector({}, options.name);
+        const auto hear_all = [&](uint64_t sequence, bool watching,
+                                  bool relaying) {
+          for (uint32_t other = 0; other < balancers; ++other) {
+            peer_hello hello = hello_of("front-" + std::to_string(other),
+                                        "north", {other + 1, 1}, 1, sequence);
+            hello.watched_kinds = watching ? 1 : 0;
+            hello.relayed_kinds = relaying ? 1 : 0;
+            peers.on_hello(start + (sequence == 1 ? 0 : row.silent_for), hello);
+          }
+        };
+        hear_all(1, true, true);
+        selector.decide(start, directory_kind::targets, peers);
+        hear_all(2, row.watching, row.relaying);
+        const auto role = selector.decide(start + row.silent_for,
+                                          directory_kind::targets, peers);
+        watchers += watches_registry(role) ? 1 : 0;
+        relay_count += role == watch_role::relay ? 1 : 0;
+        passive += role == watch_role::passive ? 1 : 0;
+      }
+      BOOST_TEST(watchers == row.watchers);
+      BOOST_TEST(relay_count == row.relays);
+      BOOST_TEST(passive == row.passive);
+    }
+  }
+}
+
 // A push contains only the entries that changed, and the removals.
 BOOST_AUTO_TEST_CASE(changes_are_pushed_to_passive_balancers) {
   directory_fixture watcher;
@@ -478,6 +539,75 @@
   BOOST_TEST(f.call(directory_kind::targets).revision == 20u);
 }
 
+// A release of 150 targets changed entries for half a minute, and each watch
+// brought the one or two of a tenth of a second.
+BOOST_AUTO_TEST_CASE(watches_during_a_series_of_changes_wait_longer) {
+  directory_fixture f;
+  f.load();
+  size_t calls = 0;
+  uint64_t last_call = 0;
+  for (uint64_t step = 1; step <= 200; ++step) {  // 10 s
+    const uint64_t call = f.call(directory_kind::targets).id;
+    if (call != last_call) {
+      ++calls;
+      last_call = call;
+      registry_reply r;
+      r.id = call;
+      r.status = registry_status::ok;
+      r.revision = 10 + step;
+      r.changes = {entry("i-2", 10 + step, make_target("i-2"))};
+      f.handle(f.core.on_reply(f.now, r));
+    }
+    f.advance(50 * us_per_ms);
+  }
+  BOOST_TEST(calls <= 30u);
+  BOOST_TEST(calls >= 20u);
+  // After a pause the first change is followed up soon again.
+  f.advance(2 * us_per_s);
+  f.reply(directory_kind::targets, 500,
+          {entry("i-3", 500, make_target("i-3"))});
+  const uint64_t call = f.call(directory_kind::targets).id;
+  f.advance(directory_options().watch_batch_pause);
+  BOOST_TEST(f.call(directory_kind::targets).id != call);
+}
+
+struct overdue_row {
+  const char* name;
+  uint64_t peer_revision;
+  time_us waited;  ///< Since the peer's first heartbeat.
+  bool restarted;
+};
+
+// The connection of a waiting watch may fall silent without an error. A peer
+// that has had a newer revision for a while shows that.
+BOOST_AUTO_TEST_CASE(watch_that_lags_behind_a_peer_is_started_anew) {
+  const overdue_row rows[] = {
+      {"peer at the same revision", 10, 2 * us_per_s, false},
+      {"peer just ahead", 50, 300 * us_per_ms, false},
+      {"peer ahead for long", 50, 800 * us_per_ms, true},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      directory_fixture f;
+      f.load();
+      f.advance(directory_options().watch_batch_pause);
+      const registry_call watch = f.call(directory_kind::targets);
+      BOOST_TEST(watch.wait > 0);
+      // Two peers: the next heartbeat of one peer may be seconds away.
+      for (uint32_t i = 1; i <= 2; ++i) {
+        peer_hello ahead = hello_of_loaded_peer(f, i);
+        if (row.peer_revision > 10)
+          ahead.summaries[0] = {row.peer_revision, 1};
+        f.handle(f.core.on_peer_message(f.now, ahead));
+        if (i == 1)
+          f.now += row.waited;
+      }
+      BOOST_TEST((f.call(directory_kind::targets).id != watch.id) ==
+                 row.restarted);
+    }
+  }
+}
+
 // With 80 balancers, all balancers of a zone sent heartbeats to the other
 // balancers in the same order. Each receiver got those of the zone in one burst
 // and then none for 13 s, and counted the zone as silent.
@@ -505,7 +635,7 @@
   for (int round = 0; round < 60; ++round) {
     size_t received = 0;
     for (auto& peers : zone) {
-      const auto to = peers.next_round(us_per_s, false);
+      const auto to = peers.next_round(us_per_s, round_scope::none);
       received +=
           static_cast<size_t>(std::count(to.begin(), to.end(), receiver));
     }
