--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -2,8 +2,8 @@
  *
  * Lists and then watches each kind of entry, exchanges the entries with other
  * balancers, and publishes forwarding tables. The replica of a kind is its
- * state at one registry revision; the newest revision wins, whether it came
- * from the registry or from a peer. Does no I/O.
+ * state at one version (era and revision) of the registry; the newest version
+ * wins, whether it came from the registry or from a peer. Does no I/O.
  */
 #ifndef TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
 #define TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
@@ -17,6 +17,7 @@
 
 #include "turmeric/coordination/directory_replica_base.h"
 #include "turmeric/coordination/forwarding_table_base.h"
+#include "turmeric/coordination/registry_era_base.h"
 #include "turmeric/coordination/watcher_selection_base.h"
 
 namespace turmeric {
@@ -91,6 +92,15 @@
    * still gets new flows. Entries that expired because the registry failed are
    * back by then; the bound on draining targets is longer. */
   time_us lapse_grace = 2 * us_per_s;
+  /** Time for which a zone stays withdrawn whose withdrawal a restored registry
+   * lacks: operators write it again if it still holds. */
+  time_us restore_hold = 10 * us_per_s;
+  /** Time between two reads of the registry by which this balancer checks an
+   * era that only peers know. */
+  time_us era_check_interval = 2 * us_per_s;
+  /** Time for which a balancer that does not watch lets the era of those that
+   * feed it be lower than its own before it asks the registry. */
+  time_us era_doubt_time = 3 * us_per_s;
   /** Time for which removed targets, and so their tokens, are kept: the longest
    * flow. */
   time_us removed_retention = 60 * us_per_s;
@@ -125,6 +135,7 @@
   bool registry_lost = false;            ///< The last read of targets failed.
   /** Entries and parts of entries that cannot be read, by kind. */
   std::array<size_t, directory_kinds> unread{};
+  uint64_t era = 0;  ///< Of the registry; 0 if unknown.
 };
 
 /** A log line about a change of the replicas or of the registry's state. */
@@ -204,13 +215,14 @@
     /** Since when some peer has had a newer revision than `ahead_of`. */
     time_us ahead_since = 0;
     uint64_t ahead_of = 0;
-    uint32_t pulls = 0;     ///< Pulls from peers before the first state.
+    /** Pulls from peers since the last state that one sent. */
+    uint32_t pulls = 0;
     time_us last_pull = 0;  ///< Of all entries, from any peer; 0 if none.
     uint32_t failures = 0;
     bool last_call_failed = false;
     watch_role role = watch_role::small_zone;
     bool load_logged = false;  ///< The first state has been logged.
-    uint64_t list_revision = 0;
+    registry_version list_version;
     time_us list_started = 0;
     std::vector<directory_change> listed;  ///< Pages so far.
   };
@@ -246,18 +258,46 @@
                            directory_kind kind,
                            const std::vector<replica_change>& changes,
                            actions* out);
+  /** Handles an answer's era.
+   * @return Whether the answer can be used. */
+  bool accept_era(time_us now,
+                  directory_kind kind,
+                  const registry_reply& reply,
+                  actions* out);
+  /** Makes all kinds be listed anew.
+   * @param answered Kind whose call was answered just now.
+   * @param answer_usable Whether that answer starts the list of its kind. */
+  void list_all_again(time_us now,
+                      directory_kind answered,
+                      bool answer_usable,
+                      bool distrusted,
+                      actions* out);
+  /** Reads the registry if only peers know its era. */
+  void check_era(time_us now, const std::string& cause, actions* out);
+  /** @return @p hello without its replicas' state and roles if it is of an
+   * older balancer that names no era, while revisions alone say nothing. */
+  peer_hello comparable_hello(peer_hello hello) const;
+  /** Doubts the own era if the balancers that feed this one name a lower one.
+   */
+  void compare_era(time_us now, const peer_hello& hello, actions* out);
+  bool registry_works() const;
+  registry_version version_of(const registry_reply& reply,
+                              const kind_sync& sync) const;
+  void update_hold_end();
   void catch_up_all(time_us now, const std::string& cause, actions* out);
   void start_catch_up(time_us now, directory_kind kind, actions* out);
   /** @return The pause after a watch that brought changes. */
   time_us next_batch_pause(time_us now, kind_sync* sync) const;
+  /** Pulls a kind of a newer era from a random peer that has it. */
+  void pull_era(time_us now, directory_kind kind, uint64_t era, actions* out);
   /** Starts a watch anew that should have returned what a peer has.
    * @return Whether a peer has been ahead for `anti_entropy_delay`. */
   bool update_ahead(time_us now, directory_kind kind, actions* out);
   void publish(time_us now, actions* out);
   std::vector<uint64_t> alive_zone_ids(time_us now) const;
-  table_input make_table_input() const;
+  table_input make_table_input(time_us now) const;
   std::array<size_t, directory_kinds> count_unread() const;
-  void add_withdrawn(table_input* input) const;
+  void add_withdrawn(time_us now, table_input* input) const;
   void on_peer_hello(time_us now, const peer_hello& hello, actions* out);
   void on_peer_directory(time_us now,
                          const peer_directory_delta& directory,
@@ -304,11 +344,19 @@
   peer_table peers_;
   watcher_selection selection_;
   std::vector<kind_sync> syncs_;
-  /** Zones whose withdrawal was lifted at a revision that the replica of the
+  registry_era era_;
+  time_us last_era_check_ = 0;
+  /** Since when a peer that feeds this one has named a lower era; 0 if none. */
+  time_us era_doubted_since_ = 0;
+  bool era_missing_logged_ = false;
+  /** Zones whose withdrawal was lifted at a version that the replica of the
    * targets has not reached: their targets may have become cold since. */
-  std::map<std::string, uint64_t> pending_lifts_;
-  /** Revision of the last lift by zone; never erased. */
-  std::map<std::string, uint64_t> last_lift_;
+  std::map<std::string, registry_version> pending_lifts_;
+  /** Version of the last lift by zone; never erased. */
+  std::map<std::string, registry_version> last_lift_;
+  /** When the hold of a withdrawal that was lost in a restore ends; INT64_MAX
+   * without one. */
+  time_us next_hold_end_ = INT64_MAX;
   uint64_t next_call_id_ = 1;
   uint64_t sequence_ = 0;
   time_us started_ = 0;
--- a/packages/coordination/include/turmeric/coordination/directory_replica_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_replica_base.h
@@ -1,6 +1,6 @@
 /** @file directory_replica_base.h Local replica of one kind of directory
- * entries: the state of the registry at one revision, which never
- * decreases. */
+ * entries: the state of the registry at one version, which never decreases
+ * unless a restored registry proves it wrong. */
 #ifndef TURMERIC_COORDINATION_DIRECTORY_REPLICA_BASE_H_
 #define TURMERIC_COORDINATION_DIRECTORY_REPLICA_BASE_H_
 
@@ -17,6 +17,7 @@
 /** An entry that is or was in the registry. */
 struct replica_entry {
   uint64_t revision = 0;
+  uint64_t era = 0;  ///< Of `revision`; 0 if unknown.
   /** The last one that could be read; null if none could. */
   std::shared_ptr<const directory_value> value;
   std::string read_error;  ///< Why the newest value is unreadable, else empty.
@@ -24,6 +25,9 @@
   bool registered = true;
   time_us removed_at = 0;  ///< When the removal arrived here; local clock.
   uint64_t removed_revision = 0;  ///< Removed at this one or before.
+  /** Missing since the registry was restored from an older copy. It may have
+   * been written after that copy was made. */
+  bool lost_in_restore = false;
 
   /** @return Whether it is registered and its newest value was readable. */
   bool usable() const { return registered && read_error.empty(); }
@@ -45,20 +49,26 @@
   explicit directory_replica(time_us removed_retention)
       : removed_retention_(removed_retention) {}
 
-  /** Applies changes that are complete from the replica's revision to
-   * @p revision.
-   * @return What changed; nothing if @p revision is not newer. */
+  /** Applies changes that are complete from the replica's version to
+   * @p version.
+   * @return What changed; nothing if @p version is not newer or is of another
+   * era, whose changes do not continue this state. */
   std::vector<replica_change> apply(
       time_us now,
-      uint64_t revision,
+      registry_version version,
       const std::vector<directory_change>& changes);
 
-  /** Replaces the state by that at @p revision.
-   * @return What changed; nothing if @p revision is not newer. */
+  /** Replaces the state by that at @p version. If that is of another era, all
+   * entries are taken from it, but no facts that a copy cannot undo are lost;
+   * see merge_restored().
+   * @return What changed; nothing if @p version is not newer. */
   std::vector<replica_change> replace(time_us now,
-                                      uint64_t revision,
+                                      registry_version version,
                                       const std::vector<directory_change>& all);
 
+  /** The next state is taken by replace() even if its era is lower. */
+  void distrust_era() { era_distrusted_ = true; }
+
   /** Forgets removed entries whose retention time is over. */
   void forget_removed(time_us now);
 
@@ -79,12 +89,16 @@
  private:
   void put(time_us now,
            const directory_change& change,
+           bool restored,
            std::vector<replica_change>* out);
   void remove(time_us now,
               const std::string& name,
               uint64_t revision,
               std::vector<replica_change>* out);
-  void advance(uint64_t revision);
+  void advance(registry_version version);
+  /** Removed entries take the new era's @p revision, so that their removal is
+   * not passed on under a revision of the old one. */
+  void restamp_removed(uint64_t revision);
   /** Adds an entry to the digest and to the order of changes, or removes it
    * from them. */
   void track(const std::string& name, const replica_entry& entry);
@@ -92,6 +106,7 @@
 
   time_us removed_retention_;
   directory_summary summary_;
+  bool era_distrusted_ = false;
   uint64_t complete_since_ = 0;
   std::map<std::string, replica_entry> entries_;
   /** All entries by the revision of their last change. */
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -124,6 +124,8 @@
   if (sync == nullptr)
     return out;
   sync->call_id = 0;
+  if (!accept_era(now, kind, reply, &out))
+    return out;
   if (reply.status == registry_status::ok ||
       reply.status == registry_status::history_gone)
     sync->catch_up = false;
@@ -203,7 +205,7 @@
   // Later pages may be newer than the first; the watch starts at the revision
   // of the first.
   if (sync.listed.empty()) {
-    sync.list_revision = reply.revision;
+    sync.list_version = version_of(reply, sync);
     sync.list_started = now;
   }
   sync.listed.insert(sync.listed.end(), reply.changes.begin(),
@@ -213,7 +215,7 @@
   sync.must_list = false;
   const bool first = !sync.replica.loaded();
   const auto changes =
-      sync.replica.replace(now, sync.list_revision, sync.listed);
+      sync.replica.replace(now, sync.list_version, sync.listed);
   sync.listed.clear();
   on_replica_changes(now, kind, "registry list", changes, out);
   if (!first && !changes.empty())
@@ -225,12 +227,113 @@
                                     const registry_reply& reply,
                                     actions* out) {
   kind_sync& sync = sync_of(kind);
-  const auto changes = sync.replica.apply(now, reply.revision, reply.changes);
+  const registry_version version = version_of(reply, sync);
+  // Changes of a new era do not continue the state of the old one.
+  if (in_different_eras(version, sync.replica.summary().version())) {
+    sync.must_list = true;
+    return;
+  }
+  const auto changes = sync.replica.apply(now, version, reply.changes);
   on_replica_changes(now, kind, "registry watch", changes, out);
   if (!changes.empty())
     push_to_group(now, kind, out);
 }
 
+registry_version directory_core::version_of(const registry_reply& reply,
+                                            const kind_sync& sync) const {
+  const uint64_t known = sync.replica.summary().era;
+  if (reply.era != 0)
+    return {reply.era, reply.revision};
+  return {known != 0 ? known : era_.current(), reply.revision};
+}
+
+bool directory_core::registry_works() const {
+  return std::any_of(syncs_.begin(), syncs_.end(), [](const kind_sync& sync) {
+    return watches_registry(sync.role) && !sync.last_call_failed &&
+           !sync.must_list && sync.replica.loaded();
+  });
+}
+
+bool directory_core::accept_era(time_us now,
+                                directory_kind kind,
+                                const registry_reply& reply,
+                                actions* out) {
+  kind_sync& sync = sync_of(kind);
+  // A call without an answer names no era.
+  if (reply.status == registry_status::unreachable)
+    return true;
+  if (reply.era == 0 && era_.current() != 0 && !era_missing_logged_) {
+    era_missing_logged_ = true;
+    out->push_back(
+        directory_log_line{"answer of the registry names no era",
+                           {{"kind", std::string(name_of(kind))},
+                            {"era", std::to_string(era_.current())}}});
+  }
+  const uint64_t before = era_.current();
+  const era_verdict verdict = era_.on_answer(now, reply.era, sync.call_started);
+  if (verdict == era_verdict::current)
+    return true;
+  if (verdict == era_verdict::outdated) {
+    registry_reply outdated;
+    outdated.status = registry_status::outdated;
+    on_call_failed(now, kind, outdated, out);
+    return false;
+  }
+  out->push_back(directory_log_line{verdict == era_verdict::newer
+                                        ? "registry was restored from a copy"
+                                        : "era of the registry was wrong",
+                                    {{"era_before", std::to_string(before)},
+                                     {"era", std::to_string(reply.era)},
+                                     {"kind", std::string(name_of(kind))}}});
+  // The first page of a list already shows the new era.
+  const bool usable = reply.status == registry_status::ok &&
+                      sync.op == registry_op::list && sync.listed.empty();
+  list_all_again(now, kind, usable, verdict == era_verdict::disproved, out);
+  return usable;
+}
+
+void directory_core::list_all_again(time_us now,
+                                    directory_kind answered,
+                                    bool answer_usable,
+                                    bool distrusted,
+                                    actions* out) {
+  for (const directory_kind kind : call_order) {
+    kind_sync& sync = sync_of(kind);
+    sync.must_list = true;
+    sync.catch_up = false;
+    sync.listed.clear();
+    if (distrusted)
+      sync.replica.distrust_era();
+    // A balancer that starts may still wait for its peers.
+    const bool idle = !sync.replica.loaded() && sync.call_id == 0;
+    if (kind == answered ? !answer_usable : !idle)
+      start_call(now, kind, out);
+  }
+}
+
+void directory_core::check_era(time_us now,
+                               const std::string& cause,
+                               actions* out) {
+  if (last_era_check_ != 0 &&
+      now - last_era_check_ < options_.era_check_interval)
+    return;
+  last_era_check_ = now;
+  out->push_back(directory_log_line{
+      "checking the era of the registry",
+      {{"cause", cause}, {"era", std::to_string(era_.current())}}});
+  start_catch_up(now, directory_kind::withdrawals, out);
+}
+
+void directory_core::update_hold_end() {
+  next_hold_end_ = INT64_MAX;
+  for (const auto& [name, entry] :
+       replica(directory_kind::withdrawals).entries()) {
+    if (entry.lost_in_restore)
+      next_hold_end_ =
+          std::min(next_hold_end_, entry.removed_at + options_.restore_hold);
+  }
+}
+
 void directory_core::on_call_failed(time_us now,
                                     directory_kind kind,
                                     const registry_reply& reply,
@@ -286,15 +389,18 @@
         "entries loaded",
         {{"kind", std::string(name_of(kind))},
          {"entries", std::to_string(changes.size())},
+         {"era", std::to_string(replica(kind).summary().era)},
          {"revision", std::to_string(replica(kind).summary().revision)},
          {"source", source}}});
   }
+  const std::string era = std::to_string(replica(kind).summary().era);
   for (const auto& change : changes) {
     if (first && change.read_error.empty() && change.unread_parts.empty())
       continue;
     directory_log_line line{change.removed ? "entry removed" : "entry changed",
                             {{"kind", std::string(name_of(kind))},
                              {"name", change.name},
+                             {"era", era},
                              {"revision", std::to_string(change.revision)},
                              {"source", source}}};
     if (!change.read_error.empty()) {
@@ -318,16 +424,23 @@
     directory_kind kind,
     const std::vector<replica_change>& changes,
     actions* out) {
-  const uint64_t targets_revision =
-      replica(directory_kind::targets).summary().revision;
-  const uint64_t withdrawals_revision =
-      replica(directory_kind::withdrawals).summary().revision;
+  const registry_version targets_version =
+      replica(directory_kind::targets).summary().version();
+  const directory_replica& withdrawals = replica(directory_kind::withdrawals);
+  const registry_version withdrawals_version = withdrawals.summary().version();
+  const auto is_lift = [&](const replica_change& change) {
+    const auto it = withdrawals.entries().find(change.name);
+    return change.removed && it != withdrawals.entries().end() &&
+           !it->second.lost_in_restore;
+  };
+  if (kind == directory_kind::withdrawals)
+    update_hold_end();
   if (kind == directory_kind::withdrawals &&
-      withdrawals_revision > targets_revision) {
+      is_newer(withdrawals_version, targets_version)) {
     const size_t pending_before = pending_lifts_.size();
     for (const auto& change : changes) {
-      if (change.removed)
-        pending_lifts_[change.name] = withdrawals_revision;
+      if (is_lift(change))
+        pending_lifts_[change.name] = withdrawals_version;
     }
     // A waiting watch gets no newer revision while no target changes.
     if (pending_lifts_.size() != pending_before)
@@ -335,14 +448,14 @@
   }
   if (kind == directory_kind::withdrawals) {
     for (const auto& change : changes) {
-      if (change.removed)
-        last_lift_[change.name] = withdrawals_revision;
+      if (is_lift(change))
+        last_lift_[change.name] = withdrawals_version;
     }
   }
   const size_t pending = pending_lifts_.size();
   for (auto it = pending_lifts_.begin(); it != pending_lifts_.end();)
-    it = it->second <= targets_revision ? pending_lifts_.erase(it)
-                                        : std::next(it);
+    it = is_newer(it->second, targets_version) ? std::next(it)
+                                               : pending_lifts_.erase(it);
   return pending_lifts_.size() != pending;
 }
 
@@ -376,17 +489,20 @@
   start_call(now, kind, out);
 }
 
-void directory_core::add_withdrawn(table_input* input) const {
+void directory_core::add_withdrawn(time_us now, table_input* input) const {
   for (const auto& [name, entry] :
        replica(directory_kind::withdrawals).entries()) {
-    if (entry.registered)
+    // A withdrawal that a restored registry lacks was probably written after
+    // the copy was made; it holds until the operators have written it again.
+    if (entry.registered || (entry.lost_in_restore &&
+                             now < entry.removed_at + options_.restore_hold))
       input->withdrawn_zones.insert(name);
   }
   for (const auto& [zone, revision] : pending_lifts_)
     input->withdrawn_zones.insert(zone);
 }
 
-table_input directory_core::make_table_input() const {
+table_input directory_core::make_table_input(time_us now) const {
   table_input input;
   for (size_t i = 0; i < directory_kinds; ++i)
     input.revisions[i] = syncs_[i].replica.summary().revision;
@@ -402,7 +518,7 @@
     // whether the target has become cold since.
     const auto lift = last_lift_.find(target.entry.zone);
     if (!entry.registered && lift != last_lift_.end() &&
-        entry.revision < lift->second)
+        is_newer(lift->second, {entry.era, entry.revision}))
       target.eligible_until = 0;
     // A target whose entry was overwritten with an unreadable value gets no
     // openings; its open flows continue.
@@ -414,7 +530,7 @@
     if (entry.value != nullptr)
       input.routing = entry.value;
   }
-  add_withdrawn(&input);
+  add_withdrawn(now, &input);
   return input;
 }
 
@@ -444,9 +560,10 @@
   published_balancers_ = peers_.alive_ids(now);
   published_silent_zones_ = peers_.silent_zones(now);
   out->push_back(publish_table{
-      std::make_shared<const forwarding_table>(make_table_input()),
+      std::make_shared<const forwarding_table>(make_table_input(now)),
       published_balancers_, alive_zone_ids(now), published_silent_zones_,
-      sync_of(directory_kind::targets).last_call_failed, count_unread()});
+      sync_of(directory_kind::targets).last_call_failed, count_unread(),
+      era_.current()});
   if (first)
     announce_to_group(now, out);
   if (!early_reports_.empty())
@@ -465,6 +582,10 @@
     pull_from_peers(now, &out);
   if (now - reports_sent_ >= options_.report_interval)
     send_reports(now, &out);
+  if (now >= next_hold_end_) {
+    next_hold_end_ = INT64_MAX;
+    publish(now, &out);
+  }
   if (now >= next_forget_) {
     next_forget_ = now + forget_interval;
     for (auto& sync : syncs_)
@@ -474,7 +595,8 @@
 }
 
 time_us directory_core::next_tick() const {
-  time_us next = std::min({next_round_, next_forget_, next_pull_});
+  time_us next =
+      std::min({next_round_, next_forget_, next_pull_, next_hold_end_});
   if (!pending_reports_.empty())
     next = std::min(next, reports_sent_ + options_.report_interval);
   for (const auto& sync : syncs_) {
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -137,8 +137,9 @@
 }
 
 void directory_core::on_peer_hello(time_us now,
-                                   const peer_hello& hello,
+                                   const peer_hello& received,
                                    actions* out) {
+  const peer_hello hello = comparable_hello(received);
   const hello_result result = peers_.on_hello(now, hello);
   if (result == hello_result::stale)
     return;
@@ -162,12 +163,49 @@
     catch_up_all(now, "zone was cut off from all others", out);
     peer->ahead_since.fill(now - options_.anti_entropy_delay);
   }
+  compare_era(now, hello, out);
   push_if_behind(now, peer, out);
   pull_if_ahead(now, peer, out);
   if (!complete())
     contact_more_peers(now, out);
 }
 
+peer_hello directory_core::comparable_hello(peer_hello hello) const {
+  const bool names_era = std::any_of(
+      hello.summaries.begin(), hello.summaries.end(),
+      [](const directory_summary& summary) { return summary.era != 0; });
+  if (names_era || !era_.changed())
+    return hello;
+  hello.summaries = {};
+  hello.watched_kinds = hello.relayed_kinds = 0;
+  return hello;
+}
+
+void directory_core::compare_era(time_us now,
+                                 const peer_hello& hello,
+                                 actions* out) {
+  uint64_t era = 0;
+  for (const auto& summary : hello.summaries)
+    era = std::max(era, summary.era);
+  if (era == 0 || era_.current() == 0)
+    return;
+  if (!era_.accepts_from_peer(now, era, registry_works())) {
+    check_era(now, "a peer names a higher one", out);
+    return;
+  }
+  if (registry_works() || hello.watched_kinds == 0)
+    return;
+  if (era >= era_.current()) {
+    era_doubted_since_ = 0;
+    return;
+  }
+  if (era_doubted_since_ == 0)
+    era_doubted_since_ = now;
+  if (now - era_doubted_since_ < options_.era_doubt_time)
+    return;
+  check_era(now, "watching balancers name a lower one", out);
+}
+
 void directory_core::announce_to_group(time_us now, actions* out) {
   // Peers that start at the same time can pull from this balancer from now on.
   const peer_hello hello = make_hello(now);
@@ -202,9 +240,18 @@
   const auto index = static_cast<size_t>(kind);
   std::vector<const known_peer*> own;
   std::vector<const known_peer*> others;
+  uint64_t newest_era = 0;
   for (const auto& [address, peer] : peers_.peers()) {
-    if (peer.hello.summaries[index].revision != 0 && peers_.alive(now, peer))
-      (peer.hello.zone == options_.peers.zone ? own : others).push_back(&peer);
+    const directory_summary& summary = peer.hello.summaries[index];
+    if (summary.revision == 0 || summary.era < newest_era ||
+        !peers_.alive(now, peer))
+      continue;
+    if (summary.era > newest_era) {
+      newest_era = summary.era;
+      own.clear();
+      others.clear();
+    }
+    (peer.hello.zone == options_.peers.zone ? own : others).push_back(&peer);
   }
   const auto& from = own.empty() ? others : own;
   return from.empty() ? nullptr : from[random_() % from.size()];
@@ -264,11 +311,15 @@
     kind_sync& sync = syncs_[i];
     time_us& since = peer->ahead_since[i];
     // A kind that is not loaded is pulled in pull_from_peers().
-    if (theirs.revision <= own.revision || theirs.digest == own.digest ||
+    if (!is_newer(theirs.version(), own.version()) || same_state(theirs, own) ||
         own.revision == 0) {
       since = 0;
       continue;
     }
+    if (in_different_eras(theirs.version(), own.version())) {
+      pull_era(now, static_cast<directory_kind>(i), theirs.era, out);
+      continue;
+    }
     const bool is_passive = !watches_registry(sync.role);
     const bool overdue = update_ahead(now, static_cast<directory_kind>(i), out);
     // The push to a passive balancer was lost or was too large to be sent.
@@ -307,6 +358,25 @@
   out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
 }
 
+void directory_core::pull_era(time_us now,
+                              directory_kind kind,
+                              uint64_t era,
+                              actions* out) {
+  kind_sync& sync = sync_of(kind);
+  // A balancer that reaches the registry lists the kind there.
+  if (!era_.accepts_from_peer(now, era, registry_works()) ||
+      (sync.must_list && sync.call_id != 0) || pull_pending(now, sync))
+    return;
+  const known_peer* peer = choose_pull_peer(now, kind);
+  if (peer == nullptr)
+    return;
+  sync.last_pull = now;
+  ++sync.pulls;
+  peer_hello hello = make_hello(now);
+  hello.requested_kinds = 1U << static_cast<uint32_t>(kind);
+  out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
+}
+
 bool directory_core::update_ahead(time_us now,
                                   directory_kind kind,
                                   actions* out) {
@@ -337,8 +407,8 @@
     const auto kind = static_cast<directory_kind>(i);
     const directory_summary& own = replica(kind).summary();
     const directory_summary& theirs = peer->hello.summaries[i];
-    if (own.revision <= theirs.revision ||
-        (theirs.revision != 0 && own.digest == theirs.digest)) {
+    if (!is_newer(own.version(), theirs.version()) ||
+        (theirs.revision != 0 && same_state(own, theirs))) {
       peer->behind_since[i] = 0;
       continue;
     }
@@ -348,11 +418,13 @@
     const bool delta_requested =
         (peer->hello.requested_if_small >> i & 1) != 0 &&
         is_small(directory_for(now, kind, peer->hello));
-    // A peer that has not loaded the kind (revision 0) gets it on request only:
-    // it pulls from one peer at a time, so that not all of them push to it.
+    // A peer that has not loaded the kind (revision 0) or needs all of it, as
+    // it is of an older era, gets it on request only: it pulls from one peer at
+    // a time, so that not all of them push to it.
     const bool push_due =
         pull_requested || delta_requested ||
         (theirs.revision != 0 &&
+         !in_different_eras(own.version(), theirs.version()) &&
          now - peer->behind_since[i] >= options_.anti_entropy_delay);
     const bool pushed_recently =
         peer->last_pushed[i] != 0 &&
@@ -408,14 +480,17 @@
     directory_kind kind,
     const peer_hello& receiver) const {
   const directory_replica& own_replica = replica(kind);
-  const uint64_t receiver_revision =
-      receiver.summaries[static_cast<size_t>(kind)].revision;
+  const registry_version receiver_version =
+      receiver.summaries[static_cast<size_t>(kind)].version();
   peer_directory_delta out;
   out.to_incarnation = receiver.incarnation;
   out.kind = kind;
+  out.era = own_replica.summary().era;
   out.revision = own_replica.summary().revision;
-  out.from_revision =
-      receiver_revision >= own_replica.complete_since() ? receiver_revision : 0;
+  const bool delta_suffices =
+      receiver_version.revision >= own_replica.complete_since() &&
+      !in_different_eras(receiver_version, out.version());
+  out.from_revision = delta_suffices ? receiver_version.revision : 0;
   for (const std::string& name : own_replica.changed_since(out.from_revision)) {
     const replica_entry& entry = own_replica.entries().at(name);
     if (!entry.registered && out.from_revision != 0) {
@@ -445,14 +520,26 @@
       !well_formed(directory))
     return;
   kind_sync& sync = sync_of(directory.kind);
-  if (directory.from_revision > sync.replica.summary().revision)
+  const registry_version version = directory.version();
+  const directory_summary& own = sync.replica.summary();
+  // After a restore, a revision without an era says nothing.
+  if (version.era == 0 && era_.changed())
+    return;
+  if (!era_.accepts_from_peer(now, version.era, registry_works())) {
+    check_era(now, "a peer sent a state of a higher one", out);
+    return;
+  }
+  if (directory.from_revision != 0 &&
+      (directory.from_revision > own.revision ||
+       in_different_eras(version, own.version())))
     return;  // Changes in between are missing; peers push them later.
+  era_.on_peer_state(now, version.era);
+  sync.pulls = 0;
   const bool first = !sync.replica.loaded();
   const auto received = to_changes(now, directory);
-  const auto changes =
-      directory.from_revision == 0
-          ? sync.replica.replace(now, directory.revision, received)
-          : sync.replica.apply(now, directory.revision, received);
+  const auto changes = directory.from_revision == 0
+                           ? sync.replica.replace(now, version, received)
+                           : sync.replica.apply(now, version, received);
   on_replica_changes(now, directory.kind, "peer", changes, out);
   // In a zone cut off from the registry, changes arrive from peers of other
   // zones and are pushed on. The first state is not a change that others lack.
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -129,7 +129,7 @@
                 m.delta,
                 m.fragment,
                 m.fragments)
-TURMERIC_FIELDS(directory_summary, m.revision, m.digest)
+TURMERIC_FIELDS(directory_summary, m.revision, m.digest, m.era)
 TURMERIC_FIELDS(target_entry,
                 m.name,
                 m.number,
@@ -183,7 +183,8 @@
                 m.removed_names,
                 m.removed_revisions,
                 m.targets,
-                m.routings)
+                m.routings,
+                m.era)
 
 #undef TURMERIC_FIELDS
 
--- a/packages/state/include/turmeric/state/directory_type.h
+++ b/packages/state/include/turmeric/state/directory_type.h
@@ -27,6 +27,29 @@
 /** @return The name of @p kind in logs and metrics. */
 std::string_view name_of(directory_kind kind);
 
+/** A place in the registry's history.
+ *
+ * A registry that was restored from an older copy starts a new era and gives
+ * out revisions again, so that a revision alone does not tell which of two
+ * states is newer.
+ */
+struct registry_version {
+  uint64_t era = 0;  ///< 0 if unknown, for instance from an older balancer.
+  uint64_t revision = 0;
+};
+
+/** @return Whether the era of both is known and differs. */
+inline bool in_different_eras(const registry_version& a,
+                              const registry_version& b) {
+  return a.era != 0 && b.era != 0 && a.era != b.era;
+}
+
+/** @return Whether @p a is newer than @p b. Revisions are compared if an era is
+ * unknown. */
+inline bool is_newer(const registry_version& a, const registry_version& b) {
+  return in_different_eras(a, b) ? a.era > b.era : a.revision > b.revision;
+}
+
 /** A target's registration. */
 struct target_entry {
   std::string name;
@@ -144,6 +167,7 @@
   refused,       ///< The call was rejected and had no effect.
   unreachable,   ///< No answer.
   unreadable,    ///< The answer is not in the registry's format.
+  outdated,      ///< The answer is of an older era than one seen before.
   end
 };
 
@@ -154,6 +178,8 @@
 struct registry_reply {
   uint64_t id = 0;
   registry_status status = registry_status::unreachable;
+  /** Era of the registry; 0 if the answer does not name a readable one. */
+  uint64_t era = 0;
   uint64_t revision = 0;  ///< `changes` is complete up to this revision.
   bool has_more = false;  ///< list: there is another page.
   size_t nameless = 0;    ///< Entries left out: their names are unreadable.
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -18,8 +18,16 @@
 struct directory_summary {
   uint64_t revision = 0;  ///< Newest complete one; 0 if nothing is loaded.
   uint64_t digest = 0;    ///< Over the names and revisions of all entries.
+  uint64_t era = 0;       ///< Of `revision`; 0 if unknown.
+
+  registry_version version() const { return {era, revision}; }
 };
 
+/** @return Whether two replicas hold the same entries of the same era. */
+inline bool same_state(const directory_summary& a, const directory_summary& b) {
+  return a.digest == b.digest && !in_different_eras(a.version(), b.version());
+}
+
 /** Heartbeat of a balancer, with its pull requests to the receiver. */
 struct peer_hello {
   std::string name;
@@ -70,6 +78,9 @@
    * is used. */
   std::vector<target_entry> targets;
   std::vector<routing_entry> routings;
+  uint64_t era = 0;  ///< Of all revisions of this message; 0 if unknown.
+
+  registry_version version() const { return {era, revision}; }
 };
 
 /** Observations of targets since the sender's last message of this type. */
--- a/packages/state/include/turmeric/state/table/metrics.h
+++ b/packages/state/include/turmeric/state/table/metrics.h
@@ -80,6 +80,12 @@
                 "revisions",
                 "kind",
                 "Revision at which each kind is known.")
+TURMERIC_METRIC(registry_era,
+                "turmeric_registry_era",
+                "gauge",
+                "eras",
+                "",
+                "Era of the registry that is believed; 0 if it names none.")
 TURMERIC_METRIC(unread,
                 "turmeric_directory_unread",
                 "gauge",
--- a/packages/state/src/directory.cpp
+++ b/packages/state/src/directory.cpp
@@ -10,8 +10,8 @@
     route_kind_names = {"safe", "unsafe", "download", "upload"};
 constexpr std::array<std::string_view,
                      static_cast<size_t>(registry_status::end)>
-    status_names = {"ok",      "history_gone", "throttled",
-                    "refused", "unreachable",  "unreadable"};
+    status_names = {"ok",          "history_gone", "throttled", "refused",
+                    "unreachable", "unreadable",   "outdated"};
 constexpr std::array<std::string_view,
                      static_cast<size_t>(registry_call_cause::end)>
     cause_names = {"list", "watch", "catch_up", "retry"};
--- a/packages/transport/include/turmeric/transport/http_base.h
+++ b/packages/transport/include/turmeric/transport/http_base.h
@@ -18,6 +18,7 @@
 struct http_result {
   int status = 0;  ///< 0 if no complete response came before the timeout.
   std::string body;
+  std::string header_value;    ///< Of the header chosen in the http_client.
   std::string failure_reason;  ///< Why there is no response; empty if it came.
 };
 
@@ -28,7 +29,11 @@
  public:
   using handler = std::function<void(http_result)>;
 
-  http_client(boost::asio::io_context& loop, endpoint server);
+  /** @param header Name of the response header that results hold; empty for
+   * none. */
+  http_client(boost::asio::io_context& loop,
+              endpoint server,
+              std::string header = "");
   ~http_client();
 
   /** Sends a GET request for @p path_and_query; @p done is called once, unless
@@ -46,6 +51,7 @@
 
   boost::asio::io_context& loop_;
   endpoint server_;
+  std::string header_;
   std::shared_ptr<connection> connection_;
 };
 
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -99,6 +99,7 @@
   registry_call_counts registry_calls_;
   size_t peer_count_ = 0;                         ///< Other live balancers.
   std::array<size_t, directory_kinds> unread_{};  ///< As in publish_table.
+  uint64_t registry_era_ = 0;
   std::vector<std::string> silent_zones_;
   time_us started_ = boot_now();
   asio_ns::signal_set signals_{loop_, SIGTERM, SIGINT, SIGHUP};
@@ -125,9 +126,10 @@
       context_(std::move(codec)),
       addresses_(addresses),
       self_(hash_name(options.text(setting::instance_name))),
-      registry_clients_{http_client(loop_, addresses.registry),
-                        http_client(loop_, addresses.registry),
-                        http_client(loop_, addresses.registry)},
+      registry_clients_{
+          http_client(loop_, addresses.registry, platform::era_header),
+          http_client(loop_, addresses.registry, platform::era_header),
+          http_client(loop_, addresses.registry, platform::era_header)},
       peer_buffer_(max_datagram_bytes),
       ready_server_(loop_,
                     [this](const std::string& request_target) {
@@ -255,7 +257,8 @@
                registry_reply reply;
                reply.id = call.id;
                if (answer.status != 0) {
-                 reply = platform::read_reply(call, answer.status, answer.body,
+                 reply = platform::read_reply(call, answer.status,
+                                              answer.header_value, answer.body,
                                               boot_now());
                }
                ++registry_calls_[{call.kind, call.cause, reply.status}];
@@ -290,6 +293,7 @@
   }
   peer_count_ = publication.balancers.size();
   unread_ = publication.unread;
+  registry_era_ = publication.era;
   silent_zones_.assign(publication.silent_zones.begin(),
                        publication.silent_zones.end());
   segments_.publish(
@@ -335,6 +339,7 @@
   out.peer_count = peer_count_;
   out.silent_zones = silent_zones_;
   out.unread = unread_;
+  out.registry_era = registry_era_;
   out.registry_calls = registry_calls_;
   return out;
 }
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -119,6 +119,7 @@
     out.add(metric::revision, static_cast<double>(snapshot.revisions[i]),
             {{"kind", std::string(name_of(static_cast<directory_kind>(i)))}});
   }
+  out.add(metric::registry_era, static_cast<double>(status.registry_era));
   for (size_t i = 0; i < directory_kinds; ++i) {
     out.add(metric::unread, static_cast<double>(status.unread[i]),
             {{"kind", std::string(name_of(static_cast<directory_kind>(i)))}});
@@ -156,6 +157,7 @@
   for (const auto& zone : status.silent_zones)
     v["silent_zones"].append(zone);
   v["routing_version"] = static_cast<Json::UInt64>(snapshot.routing_version);
+  v["registry_era"] = static_cast<Json::UInt64>(status.registry_era);
   v["table_age_ms"] = static_cast<Json::Int64>(snapshot.table_age / us_per_ms);
   for (size_t i = 0; i < directory_kinds; ++i) {
     v["revisions"][std::string(name_of(static_cast<directory_kind>(i)))] =
--- a/packages/transport/src/forwarding/forwarder_pages.h
+++ b/packages/transport/src/forwarding/forwarder_pages.h
@@ -28,6 +28,7 @@
   std::vector<std::string> silent_zones;
   /** Entries and parts of entries that cannot be read, by kind. */
   std::array<size_t, directory_kinds> unread{};
+  uint64_t registry_era = 0;  ///< 0 if unknown.
   registry_call_counts registry_calls;
 };
 
--- a/packages/transport/src/forwarding/http_client.cpp
+++ b/packages/transport/src/forwarding/http_client.cpp
@@ -23,8 +23,8 @@
 
 /** A connection with at most one pending request. */
 struct http_client::connection : std::enable_shared_from_this<connection> {
-  connection(boost::asio::io_context& loop, endpoint to)
-      : stream(loop), server(to) {}
+  connection(boost::asio::io_context& loop, endpoint to, std::string header)
+      : stream(loop), server(to), result_header(std::move(header)) {}
 
   void send(const std::string& path_and_query, time_us timeout, handler done) {
     on_done = std::move(done);
@@ -75,6 +75,8 @@
       unusable = true;
     } else {
       reply.status = static_cast<int>(parser->get().result_int());
+      if (!result_header.empty())
+        reply.header_value = std::string(parser->get()[result_header]);
       reply.body = std::move(parser->get().body());
       unusable = !parser->keep_alive();
     }
@@ -92,6 +94,7 @@
 
   beast::tcp_stream stream;
   endpoint server;
+  std::string result_header;
   bool connected = false;
   bool unusable = false;  ///< Failed, cancelled, or closed by the server.
   http::request<http::empty_body> request;
@@ -100,8 +103,10 @@
   handler on_done;  ///< Set while a request is pending.
 };
 
-http_client::http_client(boost::asio::io_context& loop, endpoint server)
-    : loop_(loop), server_(server) {}
+http_client::http_client(boost::asio::io_context& loop,
+                         endpoint server,
+                         std::string header)
+    : loop_(loop), server_(server), header_(std::move(header)) {}
 
 http_client::~http_client() {
   cancel_pending();
@@ -111,7 +116,7 @@
                       time_us timeout,
                       handler done) {
   if (connection_ == nullptr || connection_->unusable)
-    connection_ = std::make_shared<connection>(loop_, server_);
+    connection_ = std::make_shared<connection>(loop_, server_, header_);
   connection_->send(path_and_query, timeout, std::move(done));
 }
 
--- a/tests/emulator/emu_plan.cpp
+++ b/tests/emulator/emu_plan.cpp
@@ -7,6 +7,10 @@
 namespace turmeric::tests {
 namespace {
 
+/** Disruptions that random_run() draws; a change would give its seeds another
+ * meaning. */
+constexpr uint64_t drawn_disruptions =
+    static_cast<uint64_t>(emu_disruption::overwrite) + 1;
 constexpr time_us earliest_start = us_per_s;
 constexpr time_us latest_start = 12 * us_per_s;
 constexpr time_us min_duration = 300 * us_per_ms;
@@ -42,8 +46,15 @@
   options.duration = 30 * us_per_s;
   for (size_t i = 0; i < 1 + random() % max_disruptions; ++i) {
     options.events.push_back(event_of(
-        &random, static_cast<emu_disruption>(
-                     random() % static_cast<uint64_t>(emu_disruption::end))));
+        &random, static_cast<emu_disruption>(random() % drawn_disruptions)));
+  }
+  return options;
+}
+
+emu_options with_restores(emu_options options, size_t restores) {
+  std::mt19937_64 random(options.seed * 0x9e3779b97f4a7c15u + 7);
+  for (size_t i = 0; i < restores; ++i) {
+    options.events.push_back(event_of(&random, emu_disruption::store_restore));
   }
   return options;
 }
@@ -62,7 +73,7 @@
                emu_invariant::withdrawal, emu_invariant::configuration,
                emu_invariant::cold_start, emu_invariant::open_flow,
                emu_invariant::open_flow,  emu_invariant::service_isolation,
-               emu_invariant::no_regress};
+               emu_invariant::no_regress, emu_invariant::configuration};
   return rules[static_cast<size_t>(fault)];
 }
 
@@ -79,6 +90,10 @@
     add(emu_disruption::target_drain, 2 + static_cast<time_us>(i), 1, 7 * i);
     add(emu_disruption::configure, 3 + static_cast<time_us>(i), 1, 1);
   }
+  if (fault == emu_injected_fault::ignore_era) {
+    add(emu_disruption::store_restore, 4, 1, 5999999);
+    return options;
+  }
   add(emu_disruption::withdraw, 4, 8, 1);
   add(emu_disruption::target_restart, 14, 1, 3);
   add(emu_disruption::balancer_kill, 16, 1, 2);
--- a/tests/emulator/emu_plan.h
+++ b/tests/emulator/emu_plan.h
@@ -10,6 +10,10 @@
  * same seed always gives the same run. */
 emu_options random_run(uint64_t seed, size_t max_disruptions);
 
+/** @return @p options with @p restores more times at which the store returns
+ * from an older copy, drawn from the seed. */
+emu_options with_restores(emu_options options, size_t restores);
+
 /** @return A run with @p disruption as its only disruption. */
 emu_options single_disruption_run(uint64_t seed, emu_disruption disruption);
 
--- a/tests/emulator/emu_store.cpp
+++ b/tests/emulator/emu_store.cpp
@@ -1,6 +1,8 @@
 /** @file emu_store.cpp Objects, change history and watches. */
 #include "emu_store.h"
 
+#include <algorithm>
+
 namespace turmeric::tests {
 
 uint64_t emu_store::put(directory_kind kind,
@@ -60,9 +62,42 @@
     watch.on_reply(changes_since(watch.call));
 }
 
+void emu_store::take_copy(uint64_t id) {
+  copies_[id] = {revision_, objects_};
+}
+
+void emu_store::restore_copy(uint64_t id) {
+  const copy& from = copies_.at(id);
+  ++era_;
+  revision_ = from.revision;
+  objects_ = from.objects;
+  history_.erase(std::remove_if(history_.begin(), history_.end(),
+                                [this](const auto& change) {
+                                  return change.second.revision > revision_;
+                                }),
+                 history_.end());
+  dropped_up_to_ = std::min(dropped_up_to_, revision_);
+  watches_.clear();
+}
+
+const directory_value* emu_store::find(directory_kind kind,
+                                       const std::string& name) const {
+  const auto& objects = objects_[static_cast<size_t>(kind)];
+  const auto it = objects.find(name);
+  return it == objects.end() ? nullptr : it->second.value.get();
+}
+
+std::vector<std::string> emu_store::names(directory_kind kind) const {
+  std::vector<std::string> out;
+  for (const auto& [name, object] : objects_[static_cast<size_t>(kind)])
+    out.push_back(name);
+  return out;
+}
+
 registry_reply emu_store::list(const registry_call& call) const {
   registry_reply reply;
   reply.id = call.id;
+  reply.era = era_;
   reply.status = registry_status::ok;
   reply.revision = revision_;
   const auto& objects = objects_[static_cast<size_t>(call.kind)];
@@ -77,9 +112,11 @@
 registry_reply emu_store::changes_since(const registry_call& call) const {
   registry_reply reply;
   reply.id = call.id;
+  reply.era = era_;
   reply.revision = revision_;
-  reply.status = call.revision < dropped_up_to_ ? registry_status::history_gone
-                                                : registry_status::ok;
+  reply.status = call.revision < dropped_up_to_ || call.revision > revision_
+                     ? registry_status::history_gone
+                     : registry_status::ok;
   if (reply.status != registry_status::ok)
     return reply;
   for (const auto& [kind, change] : history_) {
--- a/tests/emulator/emu_store.h
+++ b/tests/emulator/emu_store.h
@@ -37,6 +37,21 @@
   /** Drops the history and ends all watches. */
   void drop_history();
 
+  /** Copies the current state, in place of an earlier copy with the same
+   * @p id. */
+  void take_copy(uint64_t id);
+
+  /** Goes back to a copy and starts a new era. Later revisions are given out
+   * again; the history after the copy and all watches are lost. */
+  void restore_copy(uint64_t id);
+
+  /** @return The value of an entry, or null. */
+  const directory_value* find(directory_kind kind,
+                              const std::string& name) const;
+
+  /** @return The names of all entries of a kind. */
+  std::vector<std::string> names(directory_kind kind) const;
+
   /** Ends all watches without a reply. */
   void drop_watches() { watches_.clear(); }
 
@@ -50,6 +65,13 @@
     reply_handler on_reply;
   };
 
+  using object_map = std::map<std::string, directory_change>;
+
+  struct copy {
+    uint64_t revision = 0;
+    std::array<object_map, directory_kinds> objects;
+  };
+
   void record_change(directory_kind kind, directory_change change);
   registry_reply list(const registry_call& call) const;
   registry_reply changes_since(const registry_call& call) const;
@@ -57,10 +79,12 @@
   static constexpr size_t page_size = 10;
 
   sim_clock* clock_;
+  uint64_t era_ = 1;
   uint64_t revision_ = 1;
   uint64_t dropped_up_to_ = 0;  ///< Revision up to which changes were dropped.
   uint64_t last_watch_id_ = 0;
-  std::array<std::map<std::string, directory_change>, directory_kinds> objects_;
+  std::array<object_map, directory_kinds> objects_;
+  std::map<uint64_t, copy> copies_;
   std::vector<std::pair<directory_kind, directory_change>> history_;
   std::list<pending_watch> watches_;
 };
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -17,6 +17,17 @@
 /** Longer pauses are reported to the cores after a freeze. */
 constexpr time_us min_reported_pause = 500 * us_per_ms;
 constexpr size_t max_extra_routes = 40;
+/** Age of the copy from which a store is restored. */
+constexpr time_us min_copy_age = us_per_s;
+constexpr time_us max_copy_age = 6 * us_per_s;
+/** Within this time of a restore the operators write again what is lost. */
+constexpr time_us max_rewrite_delay = 1500 * us_per_ms;
+
+time_us copy_age_of(const emu_event& event) {
+  return min_copy_age + static_cast<time_us>(
+                            event.selector %
+                            static_cast<uint64_t>(max_copy_age - min_copy_age));
+}
 
 }  // namespace
 
@@ -30,6 +41,7 @@
   e.slots = options_.shape.slots;
   e.draining = t.draining;
   e.cold_until = t.cold_until;
+  e.started_unix_ms = static_cast<uint64_t>(t.started / us_per_ms);
   return e;
 }
 
@@ -41,7 +53,7 @@
   t->service = service;
   t->zone = zone;
   t->address = address;
-  t->last_heartbeat = clock_.now();
+  t->last_heartbeat = t->started = clock_.now();
   // Targets of the set-up are warm: they start before the traffic.
   t->cold_until = balancers_.empty() ? 0 : clock_.now() + cold_time;
   target* raw = t.get();
@@ -64,6 +76,16 @@
   t->last_heartbeat = clock_.now();
   const bool known = store_.has(directory_kind::targets, name);
   const bool cold = clock_.now() < t->cold_until;
+  if (std::exchange(t->must_write, false) && known) {
+    const auto* stored = store_.find(directory_kind::targets, name);
+    const auto* entry =
+        stored == nullptr ? nullptr : std::get_if<target_entry>(stored);
+    if (entry == nullptr || entry->draining != t->draining ||
+        entry->cold_until != t->cold_until ||
+        entry->started_unix_ms != static_cast<uint64_t>(t->started / us_per_ms))
+      write_target_entry(t);
+    return;
+  }
   if (known && !cold && !t->draining)
     return;  // Nothing of the entry changes.
   write_target_entry(t);
@@ -138,6 +160,11 @@
   for (const emu_event& event : options_.events) {
     clock_.after(options_.warm_up + event.start,
                  [this, event] { start_event(event); });
+    if (event.kind == emu_disruption::store_restore) {
+      clock_.after(std::max<time_us>(
+                       options_.warm_up + event.start - copy_age_of(event), 0),
+                   [this, event] { store_.take_copy(event.selector); });
+    }
     last_event_end_ =
         std::max(last_event_end_, clock_.now() + options_.warm_up +
                                       event.start + event.duration);
@@ -145,7 +172,9 @@
 }
 
 void emu_world::start_event(const emu_event& event) {
-  if (event.kind <= emu_disruption::kill_all)
+  if (event.kind == emu_disruption::store_restore)
+    restore_store(event);
+  else if (event.kind <= emu_disruption::kill_all)
     disrupt_balancer(event);
   else if (event.kind <= emu_disruption::zone_pair_cut ||
            event.kind == emu_disruption::withdraw)
@@ -290,6 +319,43 @@
   });
 }
 
+void emu_world::restore_store(const emu_event& event) {
+  store_down_ = true;
+  store_disturbed_at_ = clock_.now();
+  store_.drop_watches();
+  clock_.after(event.duration, [this, event] {
+    store_down_ = false;
+    store_disturbed_at_ = store_restored_at_ = clock_.now();
+    store_.restore_copy(event.selector);
+    for (const auto& [name, t] : targets_) {
+      t->must_write = true;
+      // An entry that had expired is registered again.
+      if (t->alive && !t->draining && store_.has(directory_kind::targets, name))
+        t->closed_at = INT64_MAX;
+    }
+    clock_.after(static_cast<time_us>(event.selector %
+                                      static_cast<uint64_t>(max_rewrite_delay)),
+                 [this] {
+                   write_when_store_available([this] { write_lost_objects(); });
+                 });
+  });
+}
+
+void emu_world::write_lost_objects() {
+  const auto* stored = store_.find(directory_kind::routing, "main");
+  if (stored == nullptr || std::get<routing_entry>(*stored).version !=
+                               routing_versions_.back().first)
+    store_.put(directory_kind::routing, "main", routing_);
+  for (const std::string& name : store_.names(directory_kind::withdrawals)) {
+    if (withdrawn_since_.count(name) == 0)
+      store_.remove(directory_kind::withdrawals, name);
+  }
+  for (const auto& [name, since] : withdrawn_since_) {
+    if (!store_.has(directory_kind::withdrawals, name))
+      store_.put(directory_kind::withdrawals, name, withdrawal_entry{name});
+  }
+}
+
 void emu_world::disrupt_target(const emu_event& event) {
   target* t = pick_target(event.selector);
   if (t == nullptr)
@@ -332,6 +398,7 @@
     clock_.after(event.duration, [this, t, name] {
       t->alive = true;
       t->disturbed_at = clock_.now();
+      t->started = clock_.now();
       t->cold_until = clock_.now() + cold_time;
       t->cold_openings.clear();
       log_followed(*t, "starts again");
--- a/tests/emulator/emu_types.cpp
+++ b/tests/emulator/emu_types.cpp
@@ -13,7 +13,7 @@
         "kill-all",      "zone-cut",       "zone-pair-cut",   "store-down",
         "store-silent",  "store-refuses",  "store-forgets",   "target-crash",
         "target-reset",  "target-restart", "target-replace",  "target-drain",
-        "withdraw",      "configure",      "overwrite"};
+        "withdraw",      "configure",      "overwrite",       "store-restore"};
 constexpr std::array<std::string_view,
                      static_cast<size_t>(emu_injected_fault::end)>
     plant_names = {"none",
@@ -24,7 +24,8 @@
                    "guess-tokens",
                    "reset-open-flows",
                    "wrong-service",
-                   "old-configuration"};
+                   "old-configuration",
+                   "ignore-era"};
 
 }  // namespace
 
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -52,6 +52,9 @@
   withdraw,   ///< A zone; its targets return cold.
   configure,  ///< Adds or removes a route.
   overwrite,  ///< Another writer leaves an unreadable target entry.
+  /** The store is down and comes back from a copy some seconds old. Not drawn
+   * by random_run(), so that its seeds keep their meaning. */
+  store_restore,
   end
 };
 
@@ -77,6 +80,7 @@
   reset_open_flows,   ///< Unknown tokens are reset.
   wrong_service,      ///< Openings go to a target of any service.
   old_configuration,  ///< Makes some new tables look like a regression.
+  ignore_era,         ///< Answers of the store name no era.
   end
 };
 
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -218,6 +218,8 @@
 registry_reply emu_world::with_injected_fault(registry_reply reply,
                                               directory_kind kind) {
   const emu_injected_fault plant = options_.injected_fault;
+  if (plant == emu_injected_fault::ignore_era)
+    reply.era = 0;
   if (plant == emu_injected_fault::ignore_withdrawals &&
       kind == directory_kind::withdrawals)
     reply.changes.clear();
@@ -359,7 +361,7 @@
   const time_us limit = 3 * options_.shape.heartbeat_interval;
   for (const auto& [name, t] : targets_) {
     if (!store_.has(directory_kind::targets, name) ||
-        clock_.now() - t->last_heartbeat < limit)
+        clock_.now() - std::max(t->last_heartbeat, store_restored_at_) < limit)
       continue;
     store_.remove(directory_kind::targets, name);
     mark_closed(t.get());
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -67,6 +67,8 @@
     time_us closed_at =
         INT64_MAX;  ///< When the store got its drain or removal.
     time_us last_heartbeat = 0;
+    time_us started = 0;      ///< Of its process.
+    bool must_write = false;  ///< The store may have lost its entry's value.
     uint32_t busy_slots = 0;
     std::deque<std::function<void()>> queued_work;
     std::map<uint64_t, target_flow> flows;  ///< By the flow's number.
@@ -153,6 +155,8 @@
   void start_event(const emu_event& event);
   void disrupt_balancer(const emu_event& event);
   void disrupt_store(const emu_event& event);
+  void restore_store(const emu_event& event);
+  void write_lost_objects();
   void disrupt_target(const emu_event& event);
   void disrupt_zone(const emu_event& event);
   void change_routing(uint64_t pick);
@@ -201,6 +205,7 @@
   bool store_down_ = false;
   bool store_silent_ = false;
   time_us store_disturbed_at_ = 0;
+  time_us store_restored_at_ = 0;
   uint64_t counted_second_ = 0;  ///< Second that calls_in_second_ counts.
   uint64_t calls_in_second_ = 0;
   std::vector<std::unique_ptr<balancer>> balancers_;
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -17,7 +17,8 @@
 namespace {
 
 constexpr const char* usage_text =
-    "Usage: emulate [--seed N] [--runs N] [--troubles N] [--trouble NAME]\n"
+    "Usage: emulate [--seed N] [--runs N] [--troubles N] [--restores N]\n"
+    "               [--trouble NAME]\n"
     "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
     "               [--balancers N]\n"
     "               [--targets N] [--reads N] [--recovery]\n"
@@ -29,6 +30,8 @@
     "  -s, --seed N        first seed (1)\n"
     "  -n, --runs N        number of runs (20)\n"
     "  -t, --troubles N    maximum number of troubles in a run (6)\n"
+    "  -x, --restores N    further times that the store returns from a copy "
+    "(0)\n"
     "  -o, --trouble NAME  run with this trouble only\n"
     "  -p, --plant NAME    inject this fault, which a checker must find\n"
     "  -f, --follow TARGET print the events of this target\n"
@@ -44,6 +47,7 @@
   uint64_t seed = 1;
   uint64_t runs = 20;
   size_t troubles = 6;
+  size_t restores = 0;
   emu_disruption trouble = emu_disruption::end;
   emu_injected_fault plant = emu_injected_fault::none;
   bool report = false;
@@ -76,7 +80,7 @@
     return injected_fault_run(seed, line.plant);
   if (line.trouble != emu_disruption::end)
     return single_disruption_run(seed, line.trouble);
-  return random_run(seed, line.troubles);
+  return with_restores(random_run(seed, line.troubles), line.restores);
 }
 
 /** Applies the sizes given on the command line. */
@@ -174,6 +178,7 @@
   const option options[] = {{"seed", required_argument, nullptr, 's'},
                             {"runs", required_argument, nullptr, 'n'},
                             {"troubles", required_argument, nullptr, 't'},
+                            {"restores", required_argument, nullptr, 'x'},
                             {"trouble", required_argument, nullptr, 'o'},
                             {"plant", required_argument, nullptr, 'p'},
                             {"follow", required_argument, nullptr, 'f'},
@@ -186,7 +191,7 @@
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:o:p:f:B:T:S:lrRh",
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:o:p:f:B:T:S:lrRh",
                                    options, nullptr)) != -1;) {
     switch (c) {
       case 's':
@@ -198,6 +203,9 @@
       case 't':
         line.troubles = std::strtoull(optarg, nullptr, 10);
         break;
+      case 'x':
+        line.restores = std::strtoull(optarg, nullptr, 10);
+        break;
       case 'o':
         line.trouble = named<emu_disruption>(optarg);
         break;
--- a/tests/fuzz_decoders.cpp
+++ b/tests/fuzz_decoders.cpp
@@ -103,7 +103,8 @@
   call.kind = static_cast<directory_kind>(selector % directory_kinds);
   call.op = (selector & 0x80U) != 0 ? registry_op::watch : registry_op::list;
   const auto reply = platform::read_reply(
-      call, 200, text.substr(std::min<size_t>(1, text.size())), start_time);
+      call, 200, text.substr(0, 1),
+      text.substr(std::min<size_t>(1, text.size())), start_time);
   directory_core directory({}, deterministic_random());
   forwarding_core forwarding({}, deterministic_random());
   for (const auto& action : directory.start(start_time)) {
--- a/tests/unit/directory_fixture.h
+++ b/tests/unit/directory_fixture.h
@@ -136,6 +136,7 @@
     registry_reply r;
     r.id = call(kind).id;
     r.status = status;
+    r.era = era;
     r.revision = revision;
     r.changes = std::move(changes);
     handle(core.on_reply(now, r));
@@ -169,6 +170,7 @@
   std::vector<std::string> log_messages;
   std::shared_ptr<const forwarding_table> table;
   bool registry_lost = false;
+  uint64_t era = 0;  ///< Of the replies.
   std::array<size_t, directory_kinds> unread{};
 };
 
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -173,16 +173,18 @@
 // exchange the directory for nothing.
 BOOST_AUTO_TEST_CASE(digests_depend_on_the_state_alone) {
   directory_replica by_watch(us_per_s);
-  by_watch.replace(0, 10, {entry("a", 3, make_target("a"))});
-  by_watch.apply(0, 20, {entry("b", 15, make_target("b")), removal("a", 16)});
+  by_watch.replace(0, {0, 10}, {entry("a", 3, make_target("a"))});
+  by_watch.apply(0, {0, 20},
+                 {entry("b", 15, make_target("b")), removal("a", 16)});
   directory_change broken;
   broken.name = "c";
   broken.revision = 21;
   broken.read_error = "unreadable";
-  by_watch.apply(0, 30, {entry("c", 18, make_target("c")), broken});
-  by_watch.apply(0, 40, {entry("a", 35, make_target("a")), removal("b", 36)});
+  by_watch.apply(0, {0, 30}, {entry("c", 18, make_target("c")), broken});
+  by_watch.apply(0, {0, 40},
+                 {entry("a", 35, make_target("a")), removal("b", 36)});
   directory_replica by_list(us_per_s);
-  by_list.replace(0, 40, {entry("a", 35, make_target("a")), broken});
+  by_list.replace(0, {0, 40}, {entry("a", 35, make_target("a")), broken});
   BOOST_TEST(by_watch.summary().digest == by_list.summary().digest);
   BOOST_TEST(by_watch.summary().digest != 0u);
   BOOST_TEST(
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -47,7 +47,7 @@
       R"("slots":2,"state":"ready","cold_left_ms":0}}],)"
       R"("has_more":false,"store_revision":9})";
   return platform::read_reply(make_list_call(directory_kind::targets), http_ok,
-                              body, now);
+                              "", body, now);
 }
 
 const target_entry& first_target(const registry_reply& reply) {
@@ -225,7 +225,7 @@
       R"("limits":{"idle_timeout_ms":15000}}}],)"
       R"("has_more":false,"store_revision":9})";
   const auto reply = platform::read_reply(
-      make_list_call(directory_kind::routing), http_ok, body, now);
+      make_list_call(directory_kind::routing), http_ok, "", body, now);
   BOOST_REQUIRE(reply.changes.size() == 1u);
   BOOST_REQUIRE(reply.changes[0].value != nullptr);
   const auto& routing = std::get<routing_entry>(*reply.changes[0].value);
@@ -261,7 +261,7 @@
       R"("spec":)" +
       spec + R"(}],"has_more":false,"store_revision":9})";
   const auto reply = platform::read_reply(
-      make_list_call(directory_kind::routing), http_ok, body, now);
+      make_list_call(directory_kind::routing), http_ok, "", body, now);
   BOOST_REQUIRE((reply.status == registry_status::ok));
   BOOST_REQUIRE(reply.changes.size() == 1u);
   return reply.changes[0];
@@ -428,7 +428,7 @@
       registry_call call = make_list_call(directory_kind::targets);
       if (std::string(body).find("events") != std::string::npos)
         call.op = registry_op::watch;
-      const auto reply = platform::read_reply(call, http_ok, body, now);
+      const auto reply = platform::read_reply(call, http_ok, "", body, now);
       BOOST_TEST((reply.status == registry_status::ok));
       BOOST_REQUIRE(reply.changes.size() == 1u);
       BOOST_TEST(reply.changes[0].name == "i-1");
@@ -464,18 +464,43 @@
     BOOST_TEST_CONTEXT(row.name) {
       const auto reply =
           platform::read_reply(make_list_call(directory_kind::targets),
-                               row.http_status, row.body, now);
+                               row.http_status, "", row.body, now);
       BOOST_TEST((reply.status == row.expected));
       BOOST_TEST(reply.id == 7u);
     }
   }
 }
 
+struct era_row {
+  const char* header;
+  uint64_t era;
+};
+
+BOOST_AUTO_TEST_CASE(era_of_the_store_is_read_from_its_header) {
+  const era_row rows[] = {
+      {"7", 7},   {"18446744073709551615", UINT64_MAX},
+      {"", 0},    {"18446744073709551616", 0},
+      {"-1", 0},  {"1.5", 0},
+      {"7x", 0},  {" 7", 0},
+      {"0x7", 0}, {"era", 0},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.header) {
+      for (const int http_status : {200, 410, 429, 503}) {
+        const auto reply = platform::read_reply(
+            make_list_call(directory_kind::targets), http_status, row.header,
+            R"({"items":[],"has_more":false,"store_revision":3})", now);
+        BOOST_TEST(reply.era == row.era);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(deeply_nested_json_is_handled) {
   for (const size_t depth : {40u, 900u, 100000u}) {
     const std::string deep(depth, '[');
     const auto reply = platform::read_reply(
-        make_list_call(directory_kind::targets), http_ok, deep, now);
+        make_list_call(directory_kind::targets), http_ok, "", deep, now);
     BOOST_TEST((reply.status == registry_status::unreadable));
   }
   // A deeply nested spec of one entry must not make the others unreadable.
