--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -185,6 +185,9 @@
     bool probing = false;  ///< First flow after a suspicion is under way.
     time_us recovering_until = 0;
     double recovering_cost = 0.0;
+    /** Until then it is limited as a cold target: it was down, and the lost
+     * registry cannot show whether it restarted. */
+    time_us presumed_cold_until = 0;
     time_us cold_next = 0;  ///< Earliest time of the next flow while cold.
   };
 
@@ -228,6 +231,13 @@
                   time_us age,
                   time_us left,
                   uint32_t failures);
+  /** @return Whether the entry of a restarted target may not show yet that it
+   * is cold: the registry is lost, or, as zones are silent, may be lost without
+   * a failed call so far. */
+  bool restarts_may_be_unseen() const {
+    return registry_lost_ || !silent_zones_.empty();
+  }
+  bool is_cold(time_us now, const forwarding_target& target) const;
   bool cold_allowed(time_us now, const forwarding_target& target);
   bool owns_cold_target(flow_token token) const;
   time_us cold_interval(const forwarding_target& target) const;
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -105,7 +105,7 @@
   for (const auto* target : candidates) {
     if (now >= target->eligible_until || target->token == avoid)
       continue;
-    if (cold != (now < target->entry.cold_until))
+    if (cold != is_cold(now, *target))
       continue;
     if (cold && !cold_allowed(now, *target))
       continue;
@@ -201,6 +201,13 @@
   return rate <= 0 ? INT64_MAX / 2 : static_cast<time_us>(us_per_s / rate);
 }
 
+bool placement::is_cold(time_us now, const forwarding_target& target) const {
+  if (now < target.entry.cold_until)
+    return true;
+  const auto it = targets_.find(target.token);
+  return it != targets_.end() && now < it->second.presumed_cold_until;
+}
+
 bool placement::cold_allowed(time_us now, const forwarding_target& target) {
   const auto it = targets_.find(target.token);
   const bool due = it == targets_.end() || now >= it->second.cold_next;
@@ -293,6 +300,8 @@
   // While the registry is lost, the entry may not show that a restarted target
   // is cold, so any unanswered opening may mean a restart.
   const bool was_down = silence_confirmed(state) || registry_lost_;
+  if (silence_confirmed(state) && restarts_may_be_unseen())
+    state.presumed_cold_until = now + options_.recovering_time;
   if (state.failures + state.peer_failures != 0) {
     penalize_recovery(now, options_.recovering_time,
                       was_down || state.failures >= options_.down_failures,
@@ -334,6 +343,8 @@
   const time_us remaining =
       std::clamp<time_us>(report.remaining, 0, options_.max_suspicion_time);
   if (report.observation == target_observation::recovered) {
+    if (silence_confirmed(state) && restarts_may_be_unseen())
+      state.presumed_cold_until = now + remaining;
     state.failures = state.peer_failures = 0;
     state.suspected_until = state.peer_suspected_until = 0;
     state.probing = false;
