--- a/deploy/turmericd.ini.tpl
+++ b/deploy/turmericd.ini.tpl
@@ -17,5 +17,6 @@
 registry = {{platform.address}}
 grace = {{bounds.grace_s}}
 max_flow = {{bounds.max_flow_s}}
+calm_time = {{bounds.stable_window_ms}}
 cold_overage = {{bounds.cold_overage}}
 cold_slack = {{bounds.cold_slack}}
--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -27,11 +27,11 @@
   watcher_selection_options selection;
   std::vector<endpoint> seeds;  ///< Addresses of peers to contact.
   uint64_t incarnation = 0;     ///< Start of the process, Unix microseconds.
-  /** Longest wait of one watch. A connection that went silent while the
-   * registry or the path to it failed is detected within it, which has to be
-   * less than the shortest calm time (4 s) and bound (3 s) of the platform
-   * together. */
-  time_us watch_wait = 5 * us_per_s;
+  /** Time after a disturbance from which the platform's bounds hold again. */
+  time_us calm_time = 4 * us_per_s;
+  /** A watch waits this much shorter than `calm_time`: a connection that fell
+   * silent in a disturbance has to be detected and replaced within it. */
+  time_us watch_margin = 1500 * us_per_ms;
   /** A watch that has waited this long and lags behind a peer all the time is
    * started anew: its connection is dead. Above the answer time of a slow
    * registry. */
@@ -333,6 +333,8 @@
   /** @return Whether this balancer watches the kind and its last call did not
    * fail. */
   bool is_watching(directory_kind kind) const;
+  /** @return The longest wait of one watch. */
+  time_us watch_wait() const;
   /** @return Whether a call is to be started now; else sets the time of the
    * next check if this one was due. */
   bool call_due(time_us now, directory_kind kind);
--- a/packages/coordination/include/turmeric/coordination/watcher_selection_base.h
+++ b/packages/coordination/include/turmeric/coordination/watcher_selection_base.h
@@ -18,10 +18,8 @@
 
 /** Sizes and times of the selection. */
 struct watcher_selection_options {
-  /** Balancers of a zone up to which all watch. */
-  size_t small_zone_size = 4;
-  /** Balancers that watch in a larger zone. Two, so that one still watches
-   * while the failure of the other is not detected yet. */
+  /** Balancers of a zone that watch; in a smaller zone all do. Two, so that one
+   * still watches while the failure of the other is not detected yet. */
   size_t watchers = 2;
   /** Relays of a group without watching balancers; two for the same reason. */
   size_t relays = 2;
@@ -52,9 +50,13 @@
   selected,    ///< Watches, selected by its rank in the zone.
   fallback,    ///< Watches: no heartbeats of a balancer that feeds it arrive.
   relay,       ///< Gets pushes of watching balancers, pushes to its group.
-  passive      ///< Gets pushes of its group's relays or watching balancers.
+  passive,     ///< Gets pushes of its group's relays or watching balancers.
+  end
 };
 
+/** @return The name of @p role in logs. */
+std::string_view name_of(watch_role role);
+
 /** @return Whether a balancer of this role watches the registry. */
 inline bool watches_registry(watch_role role) {
   return role != watch_role::relay && role != watch_role::passive;
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -9,6 +9,9 @@
 constexpr time_us forget_interval = 5 * us_per_s;
 /** Most doublings of a backoff or timeout; keeps the shift from overflowing. */
 constexpr uint32_t max_doublings = 6;
+constexpr time_us min_watch_wait = us_per_s;
+/** The platform's limit for a watch. */
+constexpr time_us max_watch_wait = 30 * us_per_s;
 
 /** Kinds in the order in which they are read. Targets come last, so that their
  * revision is not below the one at which the withdrawals were read. */
@@ -108,9 +111,19 @@
                            options_.max_probe_timeout);
   } else {
     call.cause = registry_call_cause::watch;
-    call.wait = options_.watch_wait;
+    call.wait = watch_wait();
     call.timeout = call.wait + options_.watch_timeout_margin;
   }
+  if (call.cause == registry_call_cause::list ||
+      call.cause == registry_call_cause::catch_up) {
+    out->push_back(directory_log_line{
+        "reading the registry",
+        {{"kind", std::string(name_of(kind))},
+         {"cause", std::string(name_of(call.cause))},
+         {"era", std::to_string(sync.replica.summary().era)},
+         {"revision", std::to_string(sync.replica.summary().revision)},
+         {"role", std::string(name_of(sync.role))}}});
+  }
   sync.call_started = now;
   sync.next_call = now + call.timeout;
   out->push_back(call);
@@ -162,6 +175,11 @@
   return out;
 }
 
+time_us directory_core::watch_wait() const {
+  return std::clamp(options_.calm_time - options_.watch_margin, min_watch_wait,
+                    max_watch_wait);
+}
+
 time_us directory_core::next_batch_pause(time_us now, kind_sync* sync) const {
   const bool in_succession =
       sync->last_change != 0 &&
--- a/packages/coordination/src/watcher_selection.cpp
+++ b/packages/coordination/src/watcher_selection.cpp
@@ -5,6 +5,16 @@
 #include <algorithm>
 
 namespace turmeric {
+namespace {
+
+constexpr std::array<std::string_view, static_cast<size_t>(watch_role::end)>
+    role_names = {"small_zone", "selected", "fallback", "relay", "passive"};
+
+}  // namespace
+
+std::string_view name_of(watch_role role) {
+  return role_names[static_cast<size_t>(role)];
+}
 
 watcher_selection::watcher_selection(watcher_selection_options options,
                                      std::string name)
@@ -12,7 +22,7 @@
 
 bool watcher_selection::zone_is_large(time_us now,
                                       const peer_table& peers) const {
-  return peers.alive_in_zone(now).size() + 1 > options_.small_zone_size;
+  return peers.alive_in_zone(now).size() + 1 > options_.watchers;
 }
 
 size_t watcher_selection::rank_among(
@@ -59,7 +69,7 @@
                                      directory_kind kind,
                                      const peer_table& peers) {
   const auto zone = peers.alive_in_zone(now);
-  if (zone.size() + 1 <= options_.small_zone_size)
+  if (zone.size() + 1 <= options_.watchers)
     return watch_role::small_zone;
   const auto group = peers.alive_in_group(now);
   update_heard(now, kind, zone, group);
