--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -34,6 +34,10 @@
   /** A flow without segments for this time no longer counts as active. Longer
    * than the delay of the callers' first retransmission. */
   time_us active_timeout = 400 * us_per_ms;
+  /** The same for a flow whose caller has acknowledged bytes of an answer since
+   * it last sent some: long flows carry many requests, and between them no slot
+   * is in use. Above the gaps between the acknowledgements of one answer. */
+  time_us answered_timeout = 50 * us_per_ms;
   /** Time without segments after which a flow's state is removed. */
   time_us flow_idle_timeout = 15 * us_per_s;
   /** Flows whose state is kept. Further ones are forwarded but not tracked or
@@ -126,7 +130,12 @@
   bool answered = false;
   bool counted_unanswered = false;
   bool active = false;  ///< Counted as an active flow of its target.
-  bool ended = false;   ///< Closed by the caller; its last segments follow.
+  /** The caller has sent bytes that no acknowledgement of an answer followed.
+   */
+  bool awaits_answer = true;
+  bool quiet_check_pending = false;
+  bool answered_check_pending = false;
+  bool ended = false;  ///< Closed by the caller; its last segments follow.
 };
 /** Decides on the segments of one balancer. For the traffic thread only. */
 class forwarding_core {
@@ -232,6 +241,8 @@
                  flow_token token,
                  const forwarding_decision* decision = nullptr);
   void check_answers(time_us now);
+  void schedule_quiet_check(time_us now, const flow_key& key, flow_state* flow);
+  void check_answered(time_us now);
   void check_quiet(time_us now);
   void check_idle(time_us now);
 
@@ -240,7 +251,8 @@
   std::shared_ptr<const forwarding_table> table_;
   std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
   std::deque<flow_check> answer_checks_;
-  std::deque<flow_check> quiet_checks_;  ///< Of active flows.
+  std::deque<flow_check> answered_checks_;  ///< Of answered active flows.
+  std::deque<flow_check> quiet_checks_;     ///< Of active flows.
   std::deque<flow_check> idle_checks_;  ///< Of flows that are no longer active.
   time_us table_since_ = 0;
   time_us drop_openings_until_ = 0;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -185,8 +185,16 @@
   flow.opened = flow.last_segment = now;
   flow.acknowledged = s.acknowledged;
   flow.active = true;
-  flows_[key_of(s)] = flow;
-  quiet_checks_.push_back({now + options_.active_timeout, key_of(s)});
+  flow_state& added = flows_[key_of(s)] = flow;
+  schedule_quiet_check(now, key_of(s), &added);
+}
+
+void forwarding_core::schedule_quiet_check(time_us now,
+                                           const flow_key& key,
+                                           flow_state* flow) {
+  if (std::exchange(flow->quiet_check_pending, true))
+    return;
+  quiet_checks_.push_back({now + options_.active_timeout, key});
 }
 
 void forwarding_core::record_segment(time_us now,
@@ -217,10 +225,16 @@
     answer_times_(static_cast<double>(now - flow.opened) / us_per_ms);
   if (!flow.answered && is_logged(key))
     add_event(now, forwarding_event_kind::answered, key, target.token);
-  if (!flow.answered || is_later(s.acknowledged, flow.acknowledged)) {
+  const bool acknowledges_more = is_later(s.acknowledged, flow.acknowledged);
+  if (!flow.answered || acknowledges_more) {
     record_answer(now, key, target);
     flow.acknowledged = s.acknowledged;
   }
+  // The first acknowledgement is that of the handshake; the request follows.
+  if (s.data_bytes != 0 || !flow.answered)
+    flow.awaits_answer = true;
+  else if (acknowledges_more)
+    flow.awaits_answer = false;
   flow.answered = true;
   flow.last_segment = now;
   if (closes && !flow.ended && is_logged(key))
@@ -228,10 +242,13 @@
   flow.ended = flow.ended || closes;
   if (flow.ended) {
     set_active(now, &flow, false);
-  } else if (!flow.active) {
+  } else if (!flow.active && (flow.awaits_answer || acknowledges_more)) {
     set_active(now, &flow, true);
-    quiet_checks_.push_back({now + options_.active_timeout, key});
+    schedule_quiet_check(now, key, &flow);
   }
+  if (flow.active && !flow.awaits_answer &&
+      !std::exchange(flow.answered_check_pending, true))
+    answered_checks_.push_back({now + options_.answered_timeout, key});
 }
 
 void forwarding_core::record_answer(time_us now,
@@ -339,6 +356,7 @@
 
 void forwarding_core::tick(time_us now) {
   check_answers(now);
+  check_answered(now);
   check_quiet(now);
   check_idle(now);
 }
@@ -354,6 +372,27 @@
   }
 }
 
+void forwarding_core::check_answered(time_us now) {
+  while (!answered_checks_.empty() && answered_checks_.front().due <= now) {
+    const flow_check due_check = answered_checks_.front();
+    answered_checks_.pop_front();
+    const auto it = flows_.find(due_check.key);
+    if (it == flows_.end())
+      continue;
+    flow_state& flow = it->second;
+    flow.answered_check_pending = false;
+    if (!flow.active || flow.awaits_answer)
+      continue;
+    if (now - flow.last_segment >= options_.answered_timeout) {
+      set_active(now, &flow, false);
+    } else {
+      flow.answered_check_pending = true;
+      answered_checks_.push_back(
+          {now + options_.answered_timeout, due_check.key});
+    }
+  }
+}
+
 void forwarding_core::check_quiet(time_us now) {
   while (!quiet_checks_.empty() && quiet_checks_.front().due <= now) {
     const flow_check due_check = quiet_checks_.front();
@@ -365,6 +404,7 @@
       quiet_checks_.push_back({now + options_.active_timeout, due_check.key});
       continue;
     }
+    it->second.quiet_check_pending = false;
     set_active(now, &it->second, false);
     idle_checks_.push_back({now + options_.flow_idle_timeout, due_check.key});
   }
@@ -375,11 +415,14 @@
     const flow_check due_check = idle_checks_.front();
     idle_checks_.pop_front();
     const auto it = flows_.find(due_check.key);
-    // An active flow gets a new check when it turns quiet.
-    if (it == flows_.end() || it->second.active)
+    // A flow that continues gets a new check when it turns quiet again.
+    if (it == flows_.end() || it->second.quiet_check_pending)
       continue;
-    if (now - it->second.last_segment >= options_.flow_idle_timeout)
+    if (now - it->second.last_segment >= options_.flow_idle_timeout) {
       end_flow(now, due_check.key);
+    } else {
+      idle_checks_.push_back({now + options_.flow_idle_timeout, due_check.key});
+    }
   }
 }
 
@@ -394,6 +437,8 @@
   time_us next = INT64_MAX;
   if (!answer_checks_.empty())
     next = std::min(next, answer_checks_.front().due);
+  if (!answered_checks_.empty())
+    next = std::min(next, answered_checks_.front().due);
   if (!quiet_checks_.empty())
     next = std::min(next, quiet_checks_.front().due);
   if (!idle_checks_.empty())
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -248,6 +248,54 @@
   BOOST_TEST(balancer.core.flows() == 0u);
 }
 
+/** A step of a long flow that carries several requests. */
+struct long_flow_step {
+  const char* name;
+  time_us pause;  ///< Before it.
+  uint16_t data_bytes;
+  uint32_t acknowledged;
+  uint32_t active_flows;  ///< After it.
+};
+
+// A slot is in use from a request to its answer. Flows that stay open counted
+// as active for 400 ms after each answer, so that targets with idle flows
+// looked as busy as working ones.
+BOOST_AUTO_TEST_CASE(long_flow_is_active_while_a_request_is_under_way) {
+  const long_flow_step steps[] = {
+      {"end of the handshake", 5 * us_per_ms, 0, 1, 1},
+      {"first request", us_per_ms, 100, 1, 1},
+      {"still at work", 150 * us_per_ms, 100, 1, 1},
+      {"part of the answer", 20 * us_per_ms, 0, 1201, 1},
+      {"rest of it", 2 * us_per_ms, 0, 2001, 1},
+      {"repeated acknowledgement while idle", 60 * us_per_ms, 0, 2001, 0},
+      {"next request", 200 * us_per_ms, 100, 2001, 1},
+      {"its answer", 55 * us_per_ms, 0, 4001, 1},
+      {"idle again", 60 * us_per_ms, 0, 4001, 0},
+  };
+  table_builder builder;
+  builder.add("i-1", "north");
+  forwarding_fixture balancer(builder);
+  const flow_token token = balancer.open_flow(1).target->token;
+  for (const auto& step : steps) {
+    BOOST_TEST_CONTEXT(step.name) {
+      balancer.wait(step.pause);
+      segment s = balancer.segment_from(1);
+      s.flags.acknowledges = true;
+      s.token = token;
+      s.acknowledged = step.acknowledged;
+      s.data_bytes = step.data_bytes;
+      balancer.core.on_segment(balancer.now, s);
+      BOOST_TEST(balancer.core.placing().active_flows(token) ==
+                 step.active_flows);
+    }
+  }
+  // It is still forgotten after a while without segments.
+  balancer.wait(us_per_s);
+  balancer.wait(20 * us_per_s);
+  balancer.wait(20 * us_per_s);
+  BOOST_TEST(balancer.core.flows() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(repeated_opening_goes_to_another_target) {
   table_builder builder;
   builder.add("i-1", "north");
