--- a/deploy/turmericd.ini.tpl
+++ b/deploy/turmericd.ini.tpl
@@ -17,6 +17,7 @@
 registry = {{platform.address}}
 grace = {{bounds.grace_s}}
 max_flow = {{bounds.max_flow_s}}
+first_start = {{bootstrap}}
 calm_time = {{bounds.stable_window_ms}}
 cold_overage = {{bounds.cold_overage}}
 cold_slack = {{bounds.cold_slack}}
--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -39,6 +39,13 @@
   /** Time from the start in which peers can send their state before this
    * balancer calls the registry; several times the latency of a heartbeat. */
   time_us startup_grace = 30 * us_per_ms;
+  /** Whether the whole installation starts for the first time, before there is
+   * traffic. */
+  bool first_start = false;
+  /** In a first start, the first call to the registry is made at a random time
+   * within this, so that a few balancers read the directory and the others pull
+   * it from them. */
+  time_us first_start_spread = us_per_s;
   /** Time from the first heartbeat received after the start to the first pull
    * of the directory from a peer. Several times the latency between zones, so
    * that more peers than the seeds have sent heartbeats and many balancers that
@@ -212,15 +219,15 @@
     time_us call_started = 0;
     time_us last_change = 0;  ///< Last watch that brought changes.
     time_us batch_pause = 0;  ///< Pause after it.
-    /** Since when some peer has had a newer revision than `ahead_of`. */
-    time_us ahead_since = 0;
-    uint64_t ahead_of = 0;
+    /** Since when some peer has had a newer state than that of `behind_at`. */
+    time_us behind_since = 0;
+    uint64_t behind_at = 0;  ///< Own revision at that time.
     /** Pulls from peers since the last state that one sent. */
     uint32_t pulls = 0;
     time_us last_pull = 0;  ///< Of all entries, from any peer; 0 if none.
     uint32_t failures = 0;
     bool last_call_failed = false;
-    watch_role role = watch_role::small_zone;
+    watch_role role = watch_role::passive;
     bool load_logged = false;  ///< The first state has been logged.
     registry_version list_version;
     time_us list_started = 0;
@@ -290,9 +297,11 @@
   time_us next_batch_pause(time_us now, kind_sync* sync) const;
   /** Pulls a kind of a newer era from a random peer that has it. */
   void pull_era(time_us now, directory_kind kind, uint64_t era, actions* out);
-  /** Starts a watch anew that should have returned what a peer has.
-   * @return Whether a peer has been ahead for `anti_entropy_delay`. */
-  bool update_ahead(time_us now, directory_kind kind, actions* out);
+  /** @return Whether a peer has been ahead of the replica's present state. */
+  static bool is_behind(const kind_sync& sync);
+  /** Records that a peer is ahead, and starts a watch anew that should have
+   * returned what it has. */
+  void update_behind(time_us now, directory_kind kind, actions* out);
   void publish(time_us now, actions* out);
   std::vector<uint64_t> alive_zone_ids(time_us now) const;
   table_input make_table_input(time_us now) const;
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -53,7 +53,6 @@
   time_us added = 0;
   time_us last_tried = 0;  ///< Last try before its first heartbeat.
   std::array<time_us, directory_kinds> behind_since{};  ///< 0 if not behind.
-  std::array<time_us, directory_kinds> ahead_since{};   ///< 0 if not ahead.
   std::array<time_us, directory_kinds> last_pushed{};   ///< 0 if never.
   uint64_t reports_sequence = 0;  ///< Of its last message of target reports.
 };
@@ -70,8 +69,8 @@
  * round-robin. */
 enum class round_scope : uint8_t {
   none,
-  group,             ///< The own group.
-  group_and_relays,  ///< Also the relays of the zone's other groups.
+  group,              ///< The own group.
+  group_and_feeders,  ///< Also those that feed the zone's other groups.
 };
 
 class peer_table {
@@ -93,8 +92,9 @@
   /** @return Live peers of the own group that are not leaving. */
   std::vector<const known_peer*> alive_in_group(time_us now) const;
 
-  /** @return Live relays of the own zone's other groups. */
-  std::vector<const known_peer*> alive_relays(time_us now) const;
+  /** @return Live relays and watching balancers of the own zone's other groups.
+   */
+  std::vector<const known_peer*> alive_feeders(time_us now) const;
 
   /** @return Live peers of the own zone that are not leaving. */
   std::vector<const known_peer*> alive_in_zone(time_us now) const;
--- a/packages/coordination/include/turmeric/coordination/watcher_selection_base.h
+++ b/packages/coordination/include/turmeric/coordination/watcher_selection_base.h
@@ -2,12 +2,14 @@
  * that watch the registry.
  *
  * Calls to the registry are limited and priced, and must grow neither with the
- * balancers of a zone nor with its groups. In a small zone all balancers watch.
- * In a large one a few do, chosen by rendezvous hash. They push changes to
- * their group and to a few relays in each other group of the zone, which push
- * them on. When no heartbeat of a watching balancer has arrived for
- * `watcher_timeout`, the others start to watch, one after the other: the relays
- * first, then the balancers of groups without a live relay.
+ * balancers of a zone nor with its groups. In a zone of up to two balancers all
+ * watch. In a larger one two do: those that come first by rendezvous hash when
+ * it starts, and then those that watch already, so that balancers that join do
+ * not change it. They push changes to their group and to a few relays in each
+ * other group of the zone, which push them on. When no heartbeat of a watching
+ * balancer has arrived for `watcher_timeout`, the others start to watch, one
+ * after the other: the relays first, then the balancers of groups without a
+ * live relay. Those that find out that more than two watch stop it again.
  */
 #ifndef TURMERIC_COORDINATION_WATCHER_SELECTION_BASE_H_
 #define TURMERIC_COORDINATION_WATCHER_SELECTION_BASE_H_
@@ -30,6 +32,10 @@
   /** Time that the other balancers of a group wait beyond it, in which a relay
    * that lost its watching balancers starts to watch itself. */
   time_us relay_takeover = 600 * us_per_ms;
+  /** Time from the first decision until a balancer may start to watch:
+   * heartbeats of those that watch already, or of the other starting ones,
+   * arrive within it. */
+  time_us first_watch_delay = 600 * us_per_ms;
   /** Balancers of a zone that read the registry first when many start at
    * once. More than the watchers, since some may be slow, or their first
    * heartbeats may not have arrived yet. */
@@ -47,7 +53,7 @@
 /** How this balancer gets the changes of a kind. */
 enum class watch_role : uint8_t {
   small_zone,  ///< Watches, as all balancers of a small zone do.
-  selected,    ///< Watches, selected by its rank in the zone.
+  selected,    ///< Watches for the zone.
   fallback,    ///< Watches: no heartbeats of a balancer that feeds it arrive.
   relay,       ///< Gets pushes of watching balancers, pushes to its group.
   passive,     ///< Gets pushes of its group's relays or watching balancers.
@@ -67,7 +73,8 @@
  public:
   watcher_selection(watcher_selection_options options, std::string name);
 
-  /** @return The role of this balancer for @p kind. */
+  /** @return The role of this balancer for @p kind, which depends on the last
+   * one. */
   watch_role decide(time_us now, directory_kind kind, const peer_table& peers);
 
   /** @return Whether this balancer is among the few of its zone that read the
@@ -79,12 +86,17 @@
   bool zone_is_large(time_us now, const peer_table& peers) const;
 
  private:
-  /** When heartbeats arrived last; 0 before the first decision. */
-  struct heard_times {
-    time_us watcher = 0;  ///< Of a watching balancer of the zone.
-    time_us feeder = 0;   ///< Of the group's watching balancers and relays.
+  struct kind_state {
+    watch_role role = watch_role::passive;  ///< The last one decided.
+    time_us first_decision = 0;
+    // When heartbeats arrived last; from the first decision on.
+    time_us watcher_heard = 0;  ///< Of a watching balancer of the zone.
+    time_us feeder_heard = 0;   ///< Of the group's watching ones and relays.
   };
 
+  watch_role next_role(time_us now,
+                       directory_kind kind,
+                       const peer_table& peers);
   size_t rank_among(const std::vector<const known_peer*>& others) const;
   void update_heard(time_us now,
                     directory_kind kind,
@@ -96,7 +108,7 @@
 
   watcher_selection_options options_;
   std::string name_;
-  std::array<heard_times, directory_kinds> heard_{};
+  std::array<kind_state, directory_kinds> states_{};
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -40,9 +40,14 @@
   actions out;
   started_ = now;
   set_seeds(now, options_.seeds);
+  time_us first_call = now;
+  if (!peers_.all_addresses().empty())
+    first_call += options_.startup_grace;
+  if (!peers_.all_addresses().empty() && options_.first_start)
+    first_call += static_cast<time_us>(
+        random_() % static_cast<uint64_t>(options_.first_start_spread));
   for (const directory_kind kind : call_order) {
-    sync_of(kind).next_call =
-        peers_.all_addresses().empty() ? now : now + options_.startup_grace;
+    sync_of(kind).next_call = first_call;
     if (call_due(now, kind))
       start_call(now, kind, &out);
   }
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -105,7 +105,7 @@
   // Passive balancers and relays rely on the heartbeats of those that feed
   // them.
   const round_scope scope = hello.watched_kinds != 0
-                                ? round_scope::group_and_relays
+                                ? round_scope::group_and_feeders
                             : hello.relayed_kinds != 0 ? round_scope::group
                                                        : round_scope::none;
   for (const endpoint& to : peers_.next_round(now, scope))
@@ -143,7 +143,8 @@
   const hello_result result = peers_.on_hello(now, hello);
   if (result == hello_result::stale)
     return;
-  if (result == hello_result::started) {
+  // Starts in other zones would be a line for each balancer of the fleet.
+  if (result == hello_result::started && hello.zone == options_.peers.zone) {
     out->push_back(directory_log_line{
         "peer started",
         {{"peer", hello.name},
@@ -161,7 +162,10 @@
   if (published_silent_zones_.count(hello.zone) != 0 && all_zones_silent()) {
     published_silent_zones_.clear();
     catch_up_all(now, "zone was cut off from all others", out);
-    peer->ahead_since.fill(now - options_.anti_entropy_delay);
+    for (auto& sync : syncs_) {
+      sync.behind_since = now - options_.anti_entropy_delay;
+      sync.behind_at = sync.replica.summary().revision;
+    }
   }
   compare_era(now, hello, out);
   push_if_behind(now, peer, out);
@@ -306,39 +310,33 @@
   uint32_t requested_kinds = 0;
   uint32_t requested_if_small = 0;
   for (uint32_t i = 0; i < directory_kinds; ++i) {
-    const directory_summary& own = syncs_[i].replica.summary();
-    const directory_summary& theirs = peer->hello.summaries[i];
+    const auto kind = static_cast<directory_kind>(i);
     kind_sync& sync = syncs_[i];
-    time_us& since = peer->ahead_since[i];
+    const directory_summary& own = sync.replica.summary();
+    const directory_summary& theirs = peer->hello.summaries[i];
     // A kind that is not loaded is pulled in pull_from_peers().
     if (!is_newer(theirs.version(), own.version()) || same_state(theirs, own) ||
-        own.revision == 0) {
-      since = 0;
+        own.revision == 0)
       continue;
-    }
     if (in_different_eras(theirs.version(), own.version())) {
-      pull_era(now, static_cast<directory_kind>(i), theirs.era, out);
+      pull_era(now, kind, theirs.era, out);
       continue;
     }
-    const bool is_passive = !watches_registry(sync.role);
-    const bool overdue = update_ahead(now, static_cast<directory_kind>(i), out);
     // The push to a passive balancer was lost or was too large to be sent.
-    if (since == 0 && is_passive)
+    const bool is_passive = !watches_registry(sync.role);
+    if (is_passive && !is_behind(sync))
       requested_if_small |= 1U << i;
-    if (since == 0)
-      since = now;
+    update_behind(now, kind, out);
     // A balancer that watches may be about to get the change from the registry.
-    // In a large fleet the next heartbeat of the same peer is seconds away, so
-    // a heartbeat of another one counts, too.
-    if (now - since < options_.anti_entropy_delay && (is_passive || !overdue))
+    if (now - sync.behind_since < options_.anti_entropy_delay)
       continue;
     // A passive balancer reads the registry, and pulls only if its last call
     // failed. A watching one always pulls: it has lost its connection without a
     // failed call yet, or is reading the changes now.
     if (is_passive) {
-      since = now;
+      sync.behind_since = now;
       if (sync.call_id == 0 || !sync.catch_up)
-        start_catch_up(now, static_cast<directory_kind>(i), out);
+        start_catch_up(now, kind, out);
     }
     if (is_passive && !sync.last_call_failed)
       continue;
@@ -377,27 +375,32 @@
   out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
 }
 
-bool directory_core::update_ahead(time_us now,
-                                  directory_kind kind,
-                                  actions* out) {
+bool directory_core::is_behind(const kind_sync& sync) {
+  return sync.behind_since != 0 &&
+         sync.behind_at == sync.replica.summary().revision;
+}
+
+void directory_core::update_behind(time_us now,
+                                   directory_kind kind,
+                                   actions* out) {
   kind_sync& sync = sync_of(kind);
-  const uint64_t own_revision = sync.replica.summary().revision;
-  if (sync.ahead_since == 0 || sync.ahead_of != own_revision) {
-    sync.ahead_since = now;
-    sync.ahead_of = own_revision;
+  // While changes go on, peers get some of them first. A balancer that gets
+  // them, too, is not behind.
+  if (!is_behind(sync)) {
+    sync.behind_since = now;
+    sync.behind_at = sync.replica.summary().revision;
   }
   const bool waiting = sync.call_id != 0 && sync.op == registry_op::watch &&
                        !sync.catch_up && !sync.last_call_failed;
-  if (waiting && watches_registry(sync.role) &&
-      now - std::max(sync.ahead_since, sync.call_started) >=
-          options_.overdue_watch_time) {
-    out->push_back(
-        directory_log_line{"watch overdue, started anew",
-                           {{"kind", std::string(name_of(kind))},
-                            {"revision", std::to_string(own_revision)}}});
-    start_catch_up(now, kind, out);
-  }
-  return now - sync.ahead_since >= options_.anti_entropy_delay;
+  if (!waiting || !watches_registry(sync.role) ||
+      now - std::max(sync.behind_since, sync.call_started) <
+          options_.overdue_watch_time)
+    return;
+  out->push_back(
+      directory_log_line{"watch overdue, started anew",
+                         {{"kind", std::string(name_of(kind))},
+                          {"revision", std::to_string(sync.behind_at)}}});
+  start_catch_up(now, kind, out);
 }
 
 void directory_core::push_if_behind(time_us now,
@@ -456,8 +459,8 @@
   const bool is_relay = sync_of(kind).role == watch_role::relay;
   auto receivers = peers_.alive_in_group(now);
   if (!is_relay) {
-    const auto zone_relays = peers_.alive_relays(now);
-    receivers.insert(receivers.end(), zone_relays.begin(), zone_relays.end());
+    const auto zone_feeders = peers_.alive_feeders(now);
+    receivers.insert(receivers.end(), zone_feeders.begin(), zone_feeders.end());
   }
   for (const known_peer* live : receivers) {
     // Relays get the change from the watching balancers.
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -39,7 +39,6 @@
       last.name.empty() || last.incarnation != hello.incarnation;
   if (started) {
     peer.behind_since = {};
-    peer.ahead_since = {};
     peer.last_pushed = {};
     peer.reports_sequence = 0;
   }
@@ -117,11 +116,11 @@
   return out;
 }
 
-std::vector<const known_peer*> peer_table::alive_relays(time_us now) const {
+std::vector<const known_peer*> peer_table::alive_feeders(time_us now) const {
   std::vector<const known_peer*> out;
   for (const auto& [address, peer] : peers_) {
-    if (peer.hello.relayed_kinds != 0 && peer.hello.zone == options_.zone &&
-        !in_group(peer) && alive(now, peer))
+    if ((peer.hello.relayed_kinds | peer.hello.watched_kinds) != 0 &&
+        peer.hello.zone == options_.zone && !in_group(peer) && alive(now, peer))
       out.push_back(&peer);
   }
   return out;
@@ -173,9 +172,9 @@
   take_round_robin(
       group, scope == round_scope::none ? options_.group_fanout : group.size(),
       &group_cursor_, &out);
-  if (scope == round_scope::group_and_relays) {
-    for (const known_peer* relay : alive_relays(now))
-      out.push_back(relay->hello.address);
+  if (scope == round_scope::group_and_feeders) {
+    for (const known_peer* feeder : alive_feeders(now))
+      out.push_back(feeder->hello.address);
   }
   take_round_robin(others, options_.other_fanout, &other_cursor_, &out);
   return out;
--- a/packages/coordination/src/watcher_selection.cpp
+++ b/packages/coordination/src/watcher_selection.cpp
@@ -46,17 +46,16 @@
     directory_kind kind,
     const std::vector<const known_peer*>& zone,
     const std::vector<const known_peer*>& group) {
-  heard_times& heard = heard_[static_cast<size_t>(kind)];
-  // Before the first heartbeat the timeouts count from the first decision.
-  if (heard.watcher == 0)
-    heard.watcher = heard.feeder = now;
+  kind_state& state = states_[static_cast<size_t>(kind)];
+  if (state.first_decision == 0)
+    state.first_decision = state.watcher_heard = state.feeder_heard = now;
   for (const known_peer* peer : zone) {
     if (watches(peer->hello, kind))
-      heard.watcher = std::max(heard.watcher, peer->last_heard);
+      state.watcher_heard = std::max(state.watcher_heard, peer->last_heard);
   }
   for (const known_peer* peer : group) {
     if (watches(peer->hello, kind) || relays(peer->hello, kind))
-      heard.feeder = std::max(heard.feeder, peer->last_heard);
+      state.feeder_heard = std::max(state.feeder_heard, peer->last_heard);
   }
 }
 
@@ -68,30 +67,44 @@
 watch_role watcher_selection::decide(time_us now,
                                      directory_kind kind,
                                      const peer_table& peers) {
+  return states_[static_cast<size_t>(kind)].role = next_role(now, kind, peers);
+}
+
+watch_role watcher_selection::next_role(time_us now,
+                                        directory_kind kind,
+                                        const peer_table& peers) {
   const auto zone = peers.alive_in_zone(now);
-  if (zone.size() + 1 <= options_.watchers)
-    return watch_role::small_zone;
   const auto group = peers.alive_in_group(now);
   update_heard(now, kind, zone, group);
+  const kind_state& state = states_[static_cast<size_t>(kind)];
+  if (!peers.peers().empty() &&
+      now - state.first_decision < options_.first_watch_delay)
+    return watch_role::passive;
+  if (zone.size() + 1 <= options_.watchers)
+    return watch_role::small_zone;
+  std::vector<const known_peer*> watching;
+  for (const known_peer* peer : zone) {
+    if (watches(peer->hello, kind))
+      watching.push_back(peer);
+  }
+  const bool is_watching = watches_registry(state.role);
   const size_t zone_rank = rank_among(zone);
-  if (zone_rank < options_.watchers)
+  if (is_watching ? rank_among(watching) < options_.watchers
+                  : zone_rank < options_.watchers &&
+                        watching.size() < options_.watchers)
     return watch_role::selected;
-  const heard_times& heard = heard_[static_cast<size_t>(kind)];
   const size_t group_rank = rank_among(group);
-  // The group of the watching balancers needs no relays.
-  const bool is_relay =
-      group.size() != zone.size() && group_rank < options_.relays;
-  if (is_relay) {
-    return now - heard.watcher >= options_.watcher_timeout + stagger(group_rank)
-               ? watch_role::fallback
-               : watch_role::relay;
-  }
-  const time_us takeover =
-      group.size() == zone.size() ? 0 : options_.relay_takeover;
-  return now - heard.feeder >= options_.watcher_timeout + takeover +
-                                   stagger(group_rank - options_.relays)
-             ? watch_role::fallback
-             : watch_role::passive;
+  const bool group_is_fed = group.size() == zone.size();
+  // The group of the watching balancers of a small zone needs no relays.
+  const bool is_relay = !group_is_fed && group_rank < options_.relays;
+  const time_us patience =
+      options_.watcher_timeout +
+      (is_relay || group_is_fed ? 0 : options_.relay_takeover) +
+      stagger(group_rank);
+  const time_us heard = is_relay ? state.watcher_heard : state.feeder_heard;
+  if (now - heard >= patience)
+    return watch_role::fallback;
+  return is_relay ? watch_role::relay : watch_role::passive;
 }
 
 }  // namespace turmeric
--- a/packages/transport/src/forwarding/forwarder_settings.cpp
+++ b/packages/transport/src/forwarding/forwarder_settings.cpp
@@ -61,6 +61,7 @@
   o.peers.address = addresses.peers;
   o.seeds = seeds_of(s, addresses.peers.port);
   o.incarnation = static_cast<uint64_t>(wall_now());
+  o.first_start = s.text(setting::forwarding_first_start) == "true";
   o.calm_time = s.number(setting::forwarding_calm_time) * us_per_ms;
   o.removed_retention =
       static_cast<time_us>(s.decimal(setting::forwarding_max_flow) * us_per_s);
