--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -126,6 +126,7 @@
   soak_run(const std::string& daemon, uint64_t seed, bool promises_only)
       : promises_only_(promises_only),
         random_(seed),
+        restore_random_(seed + 1000003),
         traffic_(packet_port, target_count, seed),
         directory_(fmt::format("/tmp/turmeric-soak-{}-{}", getpid(), seed)) {
     mkdir(directory_.c_str(), 0755);
@@ -146,6 +147,7 @@
     time_us next_probe = 0;
     soak_counts all_counts;
     soak_counts undisturbed_counts;
+    schedule_restore();
     schedule(undisturbed_drain_time, [this] {
       store_.put("servers", traffic_.name_of(0), target_json(0, true));
       traffic_.set_draining(0, boot_now());
@@ -280,6 +282,35 @@
     }
   }
 
+  /** In every second run, lets the registry refuse calls for a moment and
+   * return from an older copy. What was written since is then written again.
+   * Drawn apart from the other faults, whose seeds keep their meaning. */
+  void schedule_restore() {
+    if (restore_random_() % 2 != 0)
+      return;
+    const auto up_to = [this](time_us longest) {
+      return static_cast<time_us>(restore_random_() %
+                                  static_cast<uint64_t>(longest));
+    };
+    const time_us away = 3 * us_per_s + up_to(4 * us_per_s);
+    const time_us back = away + 300 * us_per_ms + up_to(us_per_s);
+    const time_us age = us_per_s + up_to(3 * us_per_s);
+    injected_faults_ += fmt::format(" {:.1f}:restored from {:.1f} s before",
+                                    static_cast<double>(back) / us_per_s,
+                                    static_cast<double>(age) / us_per_s);
+    schedule(away, [this] { store_.set_fault(registry_fault::refusing); });
+    schedule(back, [this, age] {
+      store_.restore_copy(age);
+      store_.set_fault(registry_fault::none);
+    });
+    schedule(back + up_to(us_per_s), [this] {
+      store_.put("config", "main", routing_json());
+      for (size_t i = 0; i < target_count; ++i)
+        store_.put("servers", traffic_.name_of(i),
+                   target_json(i, draining_[i]));
+    });
+  }
+
   /** Draws and starts a fault. Kinds, as printed for a failed run: 0 balancer
    * killed, 1 terminated, 2 paused, 3 settings reloaded, 4 registry refuses, 5
    * registry silent, 6 registry's history discarded and routing changed, 7
@@ -327,8 +358,10 @@
         store_.put("servers", traffic_.name_of(target),
                    target_json(target, true));
         traffic_.set_draining(target, boot_now());
+        draining_[target] = true;
         schedule(now + 4 * us_per_s, [this, target] {
           traffic_.set_draining(target, 0);
+          draining_[target] = false;
           store_.put("servers", traffic_.name_of(target),
                      target_json(target, false));
           target_fault_active_ = false;
@@ -348,6 +381,7 @@
 
   bool promises_only_;
   std::mt19937_64 random_;
+  std::mt19937_64 restore_random_;
   soak_store store_;
   soak_traffic traffic_;
   std::string directory_;
@@ -356,6 +390,7 @@
   std::array<int, balancer_count> failed_probes_{2, 2, 2, 2};
   int routing_version_ = 1;
   bool target_fault_active_ = false;
+  std::array<bool, target_count> draining_{};
   std::string injected_faults_;
 };
 
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -44,9 +44,25 @@
    * open ones get no response. */
   void discard_history();
 
+  /** Goes back to the state of @p age ago and starts a new era. Open watches
+   * get no response. */
+  void restore_copy(time_us age);
+
   uint16_t port() const { return port_; }
 
  private:
+  struct entry {
+    uint64_t created_revision;
+    uint64_t revision;
+    std::string spec;
+  };
+  using entry_map = std::map<std::string, std::map<std::string, entry>>;
+  /** A state that was replaced. */
+  struct past_state {
+    time_us replaced_at;  ///< boot_now()
+    uint64_t revision;
+    entry_map entries;
+  };
   struct watch_event {
     uint64_t revision;
     std::string kind;
@@ -57,8 +73,13 @@
   void serve_connection(int fd);
   /** Runs a call. A watch waits for events until its wait time is over.
    * @param status Set to the HTTP status; 0 for no response.
+   * @param era Set to the era of the response.
    * @return The body of the response. */
-  std::string handle_request(const std::string& path_and_query, int* status);
+  std::string handle_request(const std::string& path_and_query,
+                             int* status,
+                             uint64_t* era);
+  /** Keeps the state that a change is about to replace. */
+  void keep_past_state();
   std::string list_json(const std::string& kind) const;
   std::string object_json(const std::string& kind,
                           const std::string& name) const;
@@ -67,16 +88,13 @@
   uint16_t port_ = 0;
   std::mutex mutex_;
   std::condition_variable changed_;
+  uint64_t era_ = 1;
   uint64_t revision_ = 1;
   uint64_t history_start_ = 0;     ///< Older watches get status 410.
   uint64_t watch_generation_ = 0;  ///< Open watches end when it changes.
   registry_fault fault_ = registry_fault::none;
-  struct entry {
-    uint64_t created_revision;
-    uint64_t revision;
-    std::string spec;
-  };
-  std::map<std::string, std::map<std::string, entry>> entries_;
+  entry_map entries_;
+  std::vector<past_state> past_states_;
   std::vector<watch_event> history_;
   std::atomic<bool> stopping_{false};
   std::thread accept_thread_;
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -4,10 +4,12 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 
 #include "soak_site.h"
+#include "turmeric/transport/clock_func.h"
 
 namespace turmeric::tests {
 namespace {
@@ -99,22 +101,25 @@
     received.erase(0, header_end + 4);
     const size_t start = line.find(' ') + 1;
     int status = 200;
-    const std::string body =
-        handle_request(line.substr(start, line.rfind(' ') - start), &status);
+    uint64_t era = 0;
+    const std::string body = handle_request(
+        line.substr(start, line.rfind(' ') - start), &status, &era);
     if (status == 0)
       continue;  // No response: the client's timeout ends the call.
     const std::string response = fmt::format(
         "HTTP/1.1 {} x\r\nContent-Type: application/json\r\n"
-        "Content-Length: {}\r\n\r\n{}",
-        status, body.size(), body);
+        "Store-Era: {}\r\nContent-Length: {}\r\n\r\n{}",
+        status, era, body.size(), body);
     if (::send(fd, response.data(), response.size(), MSG_NOSIGNAL) < 0)
       return;
   }
 }
 
 std::string soak_store::handle_request(const std::string& path_and_query,
-                                       int* status) {
+                                       int* status,
+                                       uint64_t* era) {
   std::unique_lock<std::mutex> lock(mutex_);
+  *era = era_;
   const uint64_t generation = watch_generation_;
   if (fault_ == registry_fault::slow) {
     lock.unlock();
@@ -129,7 +134,7 @@
   const uint64_t from_revision = query_parameter(path_and_query, "watch");
   if (from_revision == 0)
     return list_json(kind);
-  if (from_revision < history_start_) {
+  if (from_revision < history_start_ || from_revision > revision_) {
     *status = 410;
     return "{}";
   }
@@ -179,6 +184,7 @@
                      const std::string& name,
                      const std::string& spec) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  keep_past_state();
   const auto existing = entries_[kind].find(name);
   const uint64_t created_revision = existing == entries_[kind].end()
                                         ? revision_ + 1
@@ -192,6 +198,7 @@
 
 void soak_store::remove(const std::string& kind, const std::string& name) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  keep_past_state();
   if (entries_[kind].erase(name) == 0)
     return;
   ++revision_;
@@ -203,6 +210,31 @@
   changed_.notify_all();
 }
 
+void soak_store::keep_past_state() {
+  past_states_.push_back({boot_now(), revision_, entries_});
+}
+
+void soak_store::restore_copy(time_us age) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const time_us copied_at = boot_now() - age;
+  const auto copy = std::find_if(
+      past_states_.begin(), past_states_.end(),
+      [&](const past_state& s) { return s.replaced_at > copied_at; });
+  if (copy != past_states_.end()) {
+    revision_ = copy->revision;
+    entries_ = copy->entries;
+    past_states_.erase(copy, past_states_.end());
+  }
+  history_.erase(std::remove_if(history_.begin(), history_.end(),
+                                [&](const watch_event& e) {
+                                  return e.revision > revision_;
+                                }),
+                 history_.end());
+  ++era_;
+  ++watch_generation_;
+  changed_.notify_all();
+}
+
 void soak_store::set_fault(registry_fault fault) {
   const std::lock_guard<std::mutex> lock(mutex_);
   fault_ = fault;
