--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -290,7 +290,8 @@
   bool registry_works() const;
   registry_version version_of(const registry_reply& reply,
                               const kind_sync& sync) const;
-  void update_hold_end();
+  /** Finds the next end of the hold of a withdrawal lost in a restore. */
+  void update_hold_end(time_us now);
   void catch_up_all(time_us now, const std::string& cause, actions* out);
   void start_catch_up(time_us now, directory_kind kind, actions* out);
   /** @return The pause after a watch that brought changes. */
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "directory_core_internal.h"
+
 namespace turmeric {
 namespace {
 
@@ -13,12 +15,6 @@
 /** The platform's limit for a watch. */
 constexpr time_us max_watch_wait = 30 * us_per_s;
 
-/** Kinds in the order in which they are read. Targets come last, so that their
- * revision is not below the one at which the withdrawals were read. */
-constexpr std::array<directory_kind, directory_kinds> call_order = {
-    directory_kind::withdrawals, directory_kind::routing,
-    directory_kind::targets};
-
 time_us doubled(time_us first, uint32_t times, time_us most) {
   return std::min(first << std::min(times, max_doublings), most);
 }
@@ -262,98 +258,13 @@
     push_to_group(now, kind, out);
 }
 
-registry_version directory_core::version_of(const registry_reply& reply,
-                                            const kind_sync& sync) const {
-  const uint64_t known = sync.replica.summary().era;
-  if (reply.era != 0)
-    return {reply.era, reply.revision};
-  return {known != 0 ? known : era_.current(), reply.revision};
-}
-
-bool directory_core::registry_works() const {
-  return std::any_of(syncs_.begin(), syncs_.end(), [](const kind_sync& sync) {
-    return watches_registry(sync.role) && !sync.last_call_failed &&
-           !sync.must_list && sync.replica.loaded();
-  });
-}
-
-bool directory_core::accept_era(time_us now,
-                                directory_kind kind,
-                                const registry_reply& reply,
-                                actions* out) {
-  kind_sync& sync = sync_of(kind);
-  // A call without an answer names no era.
-  if (reply.status == registry_status::unreachable)
-    return true;
-  if (reply.era == 0 && era_.current() != 0 && !era_missing_logged_) {
-    era_missing_logged_ = true;
-    out->push_back(
-        directory_log_line{"answer of the registry names no era",
-                           {{"kind", std::string(name_of(kind))},
-                            {"era", std::to_string(era_.current())}}});
-  }
-  const uint64_t before = era_.current();
-  const era_verdict verdict = era_.on_answer(now, reply.era, sync.call_started);
-  if (verdict == era_verdict::current)
-    return true;
-  if (verdict == era_verdict::outdated) {
-    registry_reply outdated;
-    outdated.status = registry_status::outdated;
-    on_call_failed(now, kind, outdated, out);
-    return false;
-  }
-  out->push_back(directory_log_line{verdict == era_verdict::newer
-                                        ? "registry was restored from a copy"
-                                        : "era of the registry was wrong",
-                                    {{"era_before", std::to_string(before)},
-                                     {"era", std::to_string(reply.era)},
-                                     {"kind", std::string(name_of(kind))}}});
-  // The first page of a list already shows the new era.
-  const bool usable = reply.status == registry_status::ok &&
-                      sync.op == registry_op::list && sync.listed.empty();
-  list_all_again(now, kind, usable, verdict == era_verdict::disproved, out);
-  return usable;
-}
-
-void directory_core::list_all_again(time_us now,
-                                    directory_kind answered,
-                                    bool answer_usable,
-                                    bool distrusted,
-                                    actions* out) {
-  for (const directory_kind kind : call_order) {
-    kind_sync& sync = sync_of(kind);
-    sync.must_list = true;
-    sync.catch_up = false;
-    sync.listed.clear();
-    if (distrusted)
-      sync.replica.distrust_era();
-    // A balancer that starts may still wait for its peers.
-    const bool idle = !sync.replica.loaded() && sync.call_id == 0;
-    if (kind == answered ? !answer_usable : !idle)
-      start_call(now, kind, out);
-  }
-}
-
-void directory_core::check_era(time_us now,
-                               const std::string& cause,
-                               actions* out) {
-  if (last_era_check_ != 0 &&
-      now - last_era_check_ < options_.era_check_interval)
-    return;
-  last_era_check_ = now;
-  out->push_back(directory_log_line{
-      "checking the era of the registry",
-      {{"cause", cause}, {"era", std::to_string(era_.current())}}});
-  start_catch_up(now, directory_kind::withdrawals, out);
-}
-
-void directory_core::update_hold_end() {
+void directory_core::update_hold_end(time_us now) {
   next_hold_end_ = INT64_MAX;
   for (const auto& [name, entry] :
        replica(directory_kind::withdrawals).entries()) {
-    if (entry.lost_in_restore)
-      next_hold_end_ =
-          std::min(next_hold_end_, entry.removed_at + options_.restore_hold);
+    const time_us end = entry.removed_at + options_.restore_hold;
+    if (entry.lost_in_restore && end > now)
+      next_hold_end_ = std::min(next_hold_end_, end);
   }
 }
 
@@ -457,7 +368,7 @@
            !it->second.lost_in_restore;
   };
   if (kind == directory_kind::withdrawals)
-    update_hold_end();
+    update_hold_end(now);
   if (kind == directory_kind::withdrawals &&
       is_newer(withdrawals_version, targets_version)) {
     const size_t pending_before = pending_lifts_.size();
@@ -606,7 +517,7 @@
   if (now - reports_sent_ >= options_.report_interval)
     send_reports(now, &out);
   if (now >= next_hold_end_) {
-    next_hold_end_ = INT64_MAX;
+    update_hold_end(now);
     publish(now, &out);
   }
   if (now >= next_forget_) {
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -174,42 +174,6 @@
     contact_more_peers(now, out);
 }
 
-peer_hello directory_core::comparable_hello(peer_hello hello) const {
-  const bool names_era = std::any_of(
-      hello.summaries.begin(), hello.summaries.end(),
-      [](const directory_summary& summary) { return summary.era != 0; });
-  if (names_era || !era_.changed())
-    return hello;
-  hello.summaries = {};
-  hello.watched_kinds = hello.relayed_kinds = 0;
-  return hello;
-}
-
-void directory_core::compare_era(time_us now,
-                                 const peer_hello& hello,
-                                 actions* out) {
-  uint64_t era = 0;
-  for (const auto& summary : hello.summaries)
-    era = std::max(era, summary.era);
-  if (era == 0 || era_.current() == 0)
-    return;
-  if (!era_.accepts_from_peer(now, era, registry_works())) {
-    check_era(now, "a peer names a higher one", out);
-    return;
-  }
-  if (registry_works() || hello.watched_kinds == 0)
-    return;
-  if (era >= era_.current()) {
-    era_doubted_since_ = 0;
-    return;
-  }
-  if (era_doubted_since_ == 0)
-    era_doubted_since_ = now;
-  if (now - era_doubted_since_ < options_.era_doubt_time)
-    return;
-  check_era(now, "watching balancers name a lower one", out);
-}
-
 void directory_core::announce_to_group(time_us now, actions* out) {
   // Peers that start at the same time can pull from this balancer from now on.
   const peer_hello hello = make_hello(now);
@@ -356,25 +320,6 @@
   out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
 }
 
-void directory_core::pull_era(time_us now,
-                              directory_kind kind,
-                              uint64_t era,
-                              actions* out) {
-  kind_sync& sync = sync_of(kind);
-  // A balancer that reaches the registry lists the kind there.
-  if (!era_.accepts_from_peer(now, era, registry_works()) ||
-      (sync.must_list && sync.call_id != 0) || pull_pending(now, sync))
-    return;
-  const known_peer* peer = choose_pull_peer(now, kind);
-  if (peer == nullptr)
-    return;
-  sync.last_pull = now;
-  ++sync.pulls;
-  peer_hello hello = make_hello(now);
-  hello.requested_kinds = 1U << static_cast<uint32_t>(kind);
-  out->push_back(send_peer_message{peer->hello.address, std::move(hello)});
-}
-
 bool directory_core::is_behind(const kind_sync& sync) {
   return sync.behind_since != 0 &&
          sync.behind_at == sync.replica.summary().revision;
