--- a/tests/unit/era_test.cpp
+++ b/tests/unit/era_test.cpp
@@ -219,6 +219,35 @@
   }
 }
 
+// Withdrawals that were lost in two restores: the end of the first one's hold
+// made the second one hold until the next change of a withdrawal.
+BOOST_AUTO_TEST_CASE(holds_of_two_restores_end_each_at_its_time) {
+  const time_us hold = directory_options().restore_hold;
+  era_fixture f;
+  target_entry southern = make_target("i-2");
+  southern.zone = "south";
+  const std::vector<directory_change> targets = {
+      entry("i-1", 3, make_target("i-1")), entry("i-2", 4, southern)};
+  f.reply(directory_kind::targets, 60, {entry("i-2", 60, southern)});
+  f.reply(directory_kind::withdrawals, 60,
+          {entry("north", 60, withdrawal_entry{"north"})});
+  f.restore(2);
+  f.answer_lists(2, 30, targets, restored_routing(), {});
+  const time_us first_restore = f.now;
+  f.now += hold / 2;
+  f.reply(directory_kind::withdrawals, 40,
+          {entry("south", 40, withdrawal_entry{"south"})});
+  f.restore(3);
+  f.answer_lists(3, 30, targets, restored_routing(), {});
+  BOOST_TEST(f.eligible_count() == 0u);
+  f.now = first_restore + hold + us_per_s;
+  f.handle(f.core.tick(f.now));
+  BOOST_TEST(f.eligible_count() == 1u);
+  f.now += hold;
+  f.handle(f.core.tick(f.now));
+  BOOST_TEST(f.eligible_count() == 2u);
+}
+
 // A lift that the copy forgot: the registry shows the zone withdrawn again, and
 // the operators lift it again.
 BOOST_AUTO_TEST_CASE(forgotten_lift_withdraws_the_zone_until_lifted_again) {
