--- a/packages/coordination/include/turmeric/coordination/directory_replica_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_replica_base.h
@@ -59,8 +59,8 @@
       const std::vector<directory_change>& changes);
 
   /** Replaces the state by that at @p version. If that is of another era, all
-   * entries are taken from it, but no facts that a copy cannot undo are lost;
-   * see merge_restored().
+   * entries are taken from it; drains, later processes and cold starts that are
+   * known of targets stay, since the registry was restored from an older copy.
    * @return What changed; nothing if @p version is not newer. */
   std::vector<replica_change> replace(time_us now,
                                       registry_version version,
@@ -89,7 +89,7 @@
  private:
   void put(time_us now,
            const directory_change& change,
-           bool restored,
+           bool restored,  ///< From a registry restored since the last state.
            std::vector<replica_change>* out);
   void remove(time_us now,
               const std::string& name,
