--- a/tests/emulator/emu_store.h
+++ b/tests/emulator/emu_store.h
@@ -57,6 +57,7 @@
 
   bool has(directory_kind kind, const std::string& name) const;
   uint64_t revision() const { return revision_; }
+  uint64_t era() const { return era_; }
 
  private:
   struct pending_watch {
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -22,6 +22,7 @@
 constexpr time_us max_copy_age = 6 * us_per_s;
 /** Within this time of a restore the operators write again what is lost. */
 constexpr time_us max_rewrite_delay = 1500 * us_per_ms;
+constexpr time_us era_poll_interval = 10 * us_per_ms;
 
 time_us copy_age_of(const emu_event& event) {
   return min_copy_age + static_cast<time_us>(
@@ -333,6 +334,7 @@
       if (t->alive && !t->draining && store_.has(directory_kind::targets, name))
         t->closed_at = INT64_MAX;
     }
+    await_new_era(store_.era(), clock_.now(), report_.registry_calls);
     clock_.after(static_cast<time_us>(event.selector %
                                       static_cast<uint64_t>(max_rewrite_delay)),
                  [this] {
@@ -341,6 +343,32 @@
   });
 }
 
+void emu_world::await_new_era(uint64_t era,
+                              time_us restored_at,
+                              uint64_t calls_before) {
+  if (store_.era() != era)
+    return;  // Another restore came before all had followed.
+  const auto follows = [&](const std::unique_ptr<balancer>& b) {
+    if (!b->running || !b->ready || b->frozen || b->isolated ||
+        zone_cut_off(b->zone))
+      return true;
+    for (size_t i = 0; i < directory_kinds; ++i) {
+      const auto kind = static_cast<directory_kind>(i);
+      if (b->directory->replica(kind).summary().era != era)
+        return false;
+    }
+    return true;
+  };
+  if (std::all_of(balancers_.begin(), balancers_.end(), follows)) {
+    report_.restore_times.push_back(clock_.now() - restored_at);
+    report_.restore_calls += report_.registry_calls - calls_before;
+    return;
+  }
+  clock_.after(era_poll_interval, [this, era, restored_at, calls_before] {
+    await_new_era(era, restored_at, calls_before);
+  });
+}
+
 void emu_world::write_lost_objects() {
   const auto* stored = store_.find(directory_kind::routing, "main");
   if (stored == nullptr || std::get<routing_entry>(*stored).version !=
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -174,6 +174,11 @@
   /** Most loaded target over the mean of the first service, by openings in a
    * second; mean over all seconds. */
   double imbalance = 0;
+  /** Time from each return of the store from a copy until every balancer that
+   * runs and is not cut off had all kinds in the new era. */
+  std::vector<time_us> restore_times;
+  /** Calls to the store in these times. */
+  uint64_t restore_calls = 0;
   /** Log of the followed target. */
   std::vector<std::string> followed_log;
   /** Requests asked and served in time, by the second they were asked in. */
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -157,6 +157,9 @@
   void disrupt_store(const emu_event& event);
   void restore_store(const emu_event& event);
   void write_lost_objects();
+  /** Records when all balancers have followed a restore.
+   * @param calls_before Calls to the store before it. */
+  void await_new_era(uint64_t era, time_us restored_at, uint64_t calls_before);
   void disrupt_target(const emu_event& event);
   void disrupt_zone(const emu_event& event);
   void change_routing(uint64_t pick);
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -108,6 +108,11 @@
       "{}\n",
       seed, report.openings, report.refused, report.registry_calls,
       report.peer_messages);
+  for (const time_us time : report.restore_times)
+    fmt::print("seed {}: restore followed by all after {} ms\n", seed,
+               time / us_per_ms);
+  if (!report.restore_times.empty())
+    fmt::print("seed {}: calls meanwhile {}\n", seed, report.restore_calls);
   for (const auto& [key, calls] : report.calls_by_cause)
     fmt::print("seed {}: calls {} {}: {}\n", seed, name_of(key.first),
                name_of(key.second), calls);
