--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -198,7 +198,11 @@
   const double bound =
       target.cold_per_s * options_.cold_overage + options_.cold_slack;
   const double rate = bound / cold_divisor;
-  return rate <= 0 ? INT64_MAX / 2 : static_cast<time_us>(us_per_s / rate);
+  // Above one flow a second, a fraction of a flow more would let each owner
+  // open a whole one more within some seconds.
+  const double flows_per_s = rate < 1 ? rate : std::floor(rate);
+  return flows_per_s <= 0 ? INT64_MAX / 2
+                          : static_cast<time_us>(us_per_s / flows_per_s);
 }
 
 bool placement::is_cold(time_us now, const forwarding_target& target) const {
