--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -171,7 +171,13 @@
                 m.age,
                 m.remaining,
                 m.failures)
-TURMERIC_FIELDS(peer_reports, m.address, m.incarnation, m.sequence, m.reports)
+TURMERIC_FIELDS(stall_report, m.token, m.kind, m.age, m.caller)
+TURMERIC_FIELDS(peer_reports,
+                m.address,
+                m.incarnation,
+                m.sequence,
+                m.reports,
+                m.stalls)
 TURMERIC_FIELDS(peer_fragment, m.message, m.index, m.count, m.bytes)
 TURMERIC_FIELDS(peer_directory_delta,
                 m.to_incarnation,
--- a/packages/transport/src/forwarding/directory_actor.cpp
+++ b/packages/transport/src/forwarding/directory_actor.cpp
@@ -16,7 +16,7 @@
 
 /** Message to the actor: observations of targets by the traffic thread. */
 struct report_update {
-  std::vector<target_report> reports;
+  target_observations seen;
 };
 
 }  // namespace turmeric
@@ -84,8 +84,7 @@
           core.set_seeds(boot_now(), update.seeds);
         },
         [this, self](const report_update& update) {
-          execute_actions(self,
-                          core.on_local_reports(boot_now(), update.reports));
+          execute_actions(self, core.on_local_reports(boot_now(), update.seen));
         },
         [this, self](pause_atom) {
           execute_actions(self, core.on_pause(boot_now()));
@@ -137,8 +136,8 @@
   caf::anon_send(impl_->actor, seed_update{std::move(seeds)});
 }
 
-void directory_actor::deliver(std::vector<target_report> reports) {
-  caf::anon_send(impl_->actor, report_update{std::move(reports)});
+void directory_actor::deliver(target_observations seen) {
+  caf::anon_send(impl_->actor, report_update{std::move(seen)});
 }
 
 void directory_actor::on_pause() {
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -34,7 +34,7 @@
  * fewest, since anybody can cause them; refusals and events of targets are
  * needed to explain failures. */
 constexpr std::array<int, static_cast<size_t>(forwarding_event_kind::end)>
-    log_lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20};
+    log_lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20, 20, 20};
 /** The process counts as paused if poll() returns this much after its timeout.
  * Routers probe twice a second and move flows after two failed probes, so a
  * shorter pause moves no flows. */
@@ -144,24 +144,30 @@
   }
 }
 
-void segment_runner::on_peer_reports(
-    const std::vector<target_report>& reports) {
+void segment_runner::on_peer_reports(reported_targets reported) {
   const std::lock_guard<std::mutex> lock(update_mutex_);
   // The bound is only reached while the traffic thread is not scheduled, and
   // the reports that wait are stale by the time it runs again.
   if (pending_reports_.size() > max_pending_reports)
     pending_reports_.clear();
-  pending_reports_.insert(pending_reports_.end(), reports.begin(),
-                          reports.end());
+  pending_reports_.push_back(std::move(reported));
+}
+
+void segment_runner::on_zone_heartbeat(const std::string& zone) {
+  const time_us now = boot_now();
+  const std::lock_guard<std::mutex> lock(update_mutex_);
+  pending_heartbeats_[zone] = now;
 }
 
 void segment_runner::apply_update() {
   std::optional<update> next;
-  std::vector<target_report> reports;
+  std::vector<reported_targets> reports;
+  std::map<std::string, time_us> heartbeats;
   {
     const std::lock_guard<std::mutex> lock(update_mutex_);
     next = std::exchange(update_, std::nullopt);
     reports = std::exchange(pending_reports_, {});
+    heartbeats = std::exchange(pending_heartbeats_, {});
   }
   if (next.has_value()) {
     table_ = next->table;
@@ -171,7 +177,13 @@
     core_.set_silent_zones(std::move(next->silent_zones));
     core_.set_registry_lost(next->registry_lost);
   }
-  core_.on_peer_reports(boot_now(), reports);
+  for (const auto& [zone, received] : heartbeats)
+    core_.on_zone_heartbeat(received, zone);
+  const time_us now = boot_now();
+  for (const auto& reported : reports) {
+    core_.on_peer_reports(now, reported.reports);
+    core_.on_peer_stalls(now, reported.reporter, reported.stalls);
+  }
 }
 
 void segment_runner::await_first_table() {
@@ -296,6 +308,14 @@
     fields.emplace_back("reported", std::to_string(event.reported));
     fields.emplace_back("in_hand", std::to_string(event.active_flows));
   }
+  if (event.kind == forwarding_event_kind::loss_found) {
+    fields.emplace_back("callers", std::to_string(event.evidence.callers));
+    fields.emplace_back("reporters", std::to_string(event.evidence.reporters));
+    fields.emplace_back("openings", std::to_string(event.evidence.openings));
+    fields.emplace_back("targets", std::to_string(event.evidence.targets));
+    fields.emplace_back("evidence_ms",
+                        std::to_string(event.evidence_age / us_per_ms));
+  }
   if (event.candidates != 0) {
     fields.emplace_back("candidates", std::to_string(event.candidates));
     fields.emplace_back("cost", fmt::format("{:.2f}", event.cost));
--- a/tests/emulator/emu_plan.h
+++ b/tests/emulator/emu_plan.h
@@ -14,6 +14,10 @@
  * from an older copy, drawn from the seed. */
 emu_options with_restores(emu_options options, size_t restores);
 
+/** @return @p options with @p streams long flows and a few of the disruptions
+ * that must not be taken for the loss of a target, drawn from the seed. */
+emu_options with_streams(emu_options options, size_t streams);
+
 /** @return A run with @p disruption as its only disruption. */
 emu_options single_disruption_run(uint64_t seed, emu_disruption disruption);
 
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -175,6 +175,8 @@
 void emu_world::start_event(const emu_event& event) {
   if (event.kind == emu_disruption::store_restore)
     restore_store(event);
+  else if (event.kind > emu_disruption::store_restore)
+    disrupt_quality(event);
   else if (event.kind <= emu_disruption::kill_all)
     disrupt_balancer(event);
   else if (event.kind <= emu_disruption::zone_pair_cut ||
@@ -232,6 +234,25 @@
   }
 }
 
+void emu_world::disrupt_quality(const emu_event& event) {
+  std::vector<int*> counts;
+  const balancer* chosen = balancers_[event.selector % balancers_.size()].get();
+  if (event.kind == emu_disruption::target_slow) {
+    if (target* t = pick_target(event.selector))
+      counts = {&t->slowdowns};
+  } else {
+    for (const auto& b : balancers_) {
+      if (b.get() == chosen ||
+          (event.kind == emu_disruption::lossy_zone && b->zone == chosen->zone))
+        counts.push_back(&b->lossy_links);
+    }
+  }
+  for (int* count : counts) {
+    ++*count;
+    clock_.after(event.duration, [count] { --*count; });
+  }
+}
+
 void emu_world::disrupt_zone(const emu_event& event) {
   const size_t zone = event.selector % options_.shape.zones;
   const size_t other = (zone + 1) % options_.shape.zones;
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -55,6 +55,10 @@
   /** The store is down and comes back from a copy some seconds old. Not drawn
    * by random_run(), so that its seeds keep their meaning. */
   store_restore,
+  // Drawn for runs with streams only.
+  lossy_link,   ///< A balancer loses a third of its packets.
+  lossy_zone,   ///< The same for all balancers of a zone.
+  target_slow,  ///< Takes eight times as long for its work.
   end
 };
 
@@ -81,6 +85,7 @@
   wrong_service,      ///< Openings go to a target of any service.
   old_configuration,  ///< Makes some new tables look like a regression.
   ignore_era,         ///< Answers of the store name no era.
+  lone_evidence,      ///< One unanswered opening makes a target lost.
   end
 };
 
@@ -127,6 +132,10 @@
   time_us heartbeat_interval = 770 * us_per_ms;
   double max_cold_openings_per_s = 5.0;
   bool uneven_callers = false;  ///< Half of the callers are in the first zone.
+  /** Callers that keep a flow open and send requests of the first class on it,
+   * with pauses in between. */
+  size_t streams = 0;
+  time_us stream_pause = us_per_s;  ///< Mean; uniform up to twice of it.
 };
 
 /** A run. */
@@ -164,6 +173,8 @@
 struct emu_report {
   std::vector<emu_violation> violations;
   std::vector<emu_outcome> outcomes;  ///< One per request class, in its order.
+  emu_outcome streams;  ///< Requests of streams, also in `outcomes`.
+  uint64_t resets = 0;  ///< Of open flows, by balancers.
   uint64_t openings = 0;
   uint64_t refused = 0;
   uint64_t registry_calls = 0;
