--- a/packages/coordination/include/turmeric/coordination/stall_evidence_base.h
+++ b/packages/coordination/include/turmeric/coordination/stall_evidence_base.h
@@ -146,6 +146,7 @@
 
   struct loss_state {
     time_us complete_since = 0;  ///< 0: the evidence does not suffice.
+    time_us earliest = 0;        ///< Stall of the evidence.
     bool in_effect = false;
     time_us until = 0;
   };
@@ -180,7 +181,13 @@
   void report_stalls(time_us now, zone_state* zone);
   bool worth_reporting(const zone_state& zone, const stall& s) const;
   void update_losses(time_us now, const forwarding_target& target);
-  void update_loss(time_us now, bool complete, loss_state* loss) const;
+  void update_loss(time_us now,
+                   bool complete,
+                   time_us earliest,
+                   loss_state* loss) const;
+  static bool disproves(time_us progress, const loss_state& loss) {
+    return loss.complete_since != 0 && progress > loss.earliest;
+  }
   void report_progress(time_us now, flow_token token, time_us at);
   /** Reports progress at this balancer if peers may count the target or its
    * zone as lost. */
--- a/packages/coordination/src/stall_evidence.cpp
+++ b/packages/coordination/src/stall_evidence.cpp
@@ -151,10 +151,11 @@
   if (report.kind == stall_kind::progress) {
     state.peer_progress = std::max(state.peer_progress, seen);
     zone.peer_progress = std::max(zone.peer_progress, seen);
-    if (state.loss.complete_since != 0 || zone.loss.complete_since != 0) {
-      state.loss = zone.loss = {};
-      update_losses(now, target);
-    }
+    if (disproves(seen, state.loss))
+      state.loss = {};
+    if (disproves(seen, zone.loss))
+      zone.loss = {};
+    update_losses(now, target);
     return;
   }
   add_stall(now, target,
@@ -169,13 +170,18 @@
                                       const forwarding_target& target) {
   const target_state& state = state_of(target);
   const zone_state& zone = zones_[target.entry.zone];
-  const time_us oldest = now - options_.stall_lifetime;
   // Peers count the stalls since the last progress that they have seen.
-  if (state.progress > std::max(oldest, state.peer_progress) &&
-      target_complete(count(now, zone, target.token, state.peer_progress)))
+  const auto target_since = [&](time_us at) {
+    return target_complete(count(now, zone, target.token, at));
+  };
+  const auto zone_since = [&](time_us at) {
+    return zone_complete(count(now, zone, 0, at));
+  };
+  if (state.progress > state.peer_progress &&
+      target_since(state.peer_progress) && !target_since(state.progress))
     report_progress(now, target.token, state.progress);
-  else if (zone.progress > std::max(oldest, zone.peer_progress) &&
-           zone_complete(count(now, zone, 0, zone.peer_progress)))
+  else if (zone.progress > zone.peer_progress &&
+           zone_since(zone.peer_progress) && !zone_since(zone.progress))
     report_progress(now, zone.progressed, zone.progress);
 }
 
@@ -238,27 +244,30 @@
                                    const forwarding_target& target) {
   target_state& state = state_of(target);
   zone_state& zone = zones_[target.entry.zone];
-  const time_us target_alive = std::max(state.progress, state.peer_progress);
-  update_loss(now,
-              target_complete(count(now, zone, target.token, target_alive)),
-              &state.loss);
+  const stall_tally tally = count(
+      now, zone, target.token, std::max(state.progress, state.peer_progress));
+  update_loss(now, target_complete(tally), tally.earliest, &state.loss);
   // Heartbeats from the own zone say nothing about the way to its targets.
   if (target.entry.zone == zone_)
     return;
-  const time_us zone_alive =
-      std::max({zone.progress, zone.peer_progress, zone.last_heartbeat});
-  update_loss(now, zone_complete(count(now, zone, 0, zone_alive)), &zone.loss);
+  const stall_tally zone_tally =
+      count(now, zone, 0,
+            std::max({zone.progress, zone.peer_progress, zone.last_heartbeat}));
+  update_loss(now, zone_complete(zone_tally), zone_tally.earliest, &zone.loss);
 }
 
 void stall_evidence::update_loss(time_us now,
                                  bool complete,
+                                 time_us earliest,
                                  loss_state* loss) const {
   const bool ended = now >= loss->until + options_.loss_time ||
                      (!loss->in_effect && now >= loss->until);
   if (ended)
     *loss = {};
-  if (complete && loss->complete_since == 0)
+  if (complete && loss->complete_since == 0) {
     loss->complete_since = now;
+    loss->earliest = earliest;
+  }
   // A loss in effect is renewed by any stall: progress would have ended it.
   if (complete || loss->in_effect)
     loss->until = now + options_.loss_time;
--- a/tests/unit/stall_test.cpp
+++ b/tests/unit/stall_test.cpp
@@ -282,6 +282,17 @@
   BOOST_TEST(name_of(f.loss_at(2900)) == "none");
 }
 
+// Each balancer that had flows of a dead target saw them move on shortly
+// before.
+BOOST_AUTO_TEST_CASE(progress_before_the_stalls_does_not_delay_a_loss) {
+  lost_target_fixture f;
+  for (const uint64_t peer : {8, 9})
+    f.apply({step_kind::peer_progress, "b1", 170, 0, peer, request, 400});
+  BOOST_TEST(name_of(f.loss_at(261)) == "target");
+  f.apply({step_kind::peer_progress, "b1", 265, 0, 9, request, 400});
+  BOOST_TEST(name_of(f.loss_at(266)) == "target");
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_target_starts_without_evidence) {
   table_builder builder = two_zones();
   for (auto& target : builder.input.targets)
@@ -348,6 +359,13 @@
         {step_kind::peer_stall, "b2", 120, 2, 8},
         {step_kind::peer_stall, "b1", 130, 3, 9}},
        {stall_kind::progress}},
+      {"peers' evidence that progress here does not disprove",
+       {{step_kind::own_progress, "b1", -100},
+        {step_kind::peer_stall, "b1", 110, 1, 7, opening, 80},
+        {step_kind::peer_stall, "b1", 120, 2, 8, request, 150},
+        {step_kind::peer_stall, "b1", 130, 3, 9, request, 150},
+        {step_kind::peer_stall, "b1", 140, 4, 9, request, 150}},
+       {}},
       {"peers' evidence that does not suffice",
        {{step_kind::own_progress, "b1", 100},
         {step_kind::peer_stall, "b1", 110, 1, 7, opening, 80}},
