--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -184,7 +184,7 @@
     time_us peer_suspected_until = 0;
     bool probing = false;  ///< First flow after a suspicion is under way.
     time_us recovering_until = 0;
-    double recovering_cost = 0.0;
+    bool was_down = false;  ///< While recovering: it probably restarted.
     /** Until then it is limited as a cold target: it was down, and the lost
      * registry cannot show whether it restarted. */
     time_us presumed_cold_until = 0;
@@ -220,6 +220,12 @@
   bool zone_suspected(time_us now, const std::string& zone) const;
   double cost_of(time_us now, const forwarding_target& target) const;
   double health_cost(time_us now, const target_state& state) const;
+  /** @return The cost of a recovering target that was probably not down. It
+   * falls with the share of such targets: after a cut path they are the most,
+   * and all balancers would choose the few others. */
+  double light_recovery_cost(
+      time_us now,
+      const std::vector<const forwarding_target*>& candidates) const;
   bool silence_confirmed(const target_state& state) const;
   void penalize_recovery(time_us now,
                          time_us duration,
@@ -264,6 +270,7 @@
   bool registry_lost_ = false;
   time_us reports_from_ = 0;      ///< Earlier unanswered openings stay local.
   double other_zone_cost_ = 0.0;  ///< For the flow that is being placed.
+  double light_recovery_cost_ = 0.0;  ///< The same.
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -58,10 +58,25 @@
     cost += silence_confirmed(state) ? options_.suspect_cost
                                      : options_.reported_cost;
   if (now < state.recovering_until)
-    cost += state.recovering_cost;
+    cost += state.was_down ? options_.recovering_cost : light_recovery_cost_;
   return cost;
 }
 
+double placement::light_recovery_cost(
+    time_us now,
+    const std::vector<const forwarding_target*>& candidates) const {
+  if (candidates.empty())
+    return 0.0;
+  const auto recovering = std::count_if(
+      candidates.begin(), candidates.end(), [&](const auto* target) {
+        const auto it = targets_.find(target->token);
+        return it != targets_.end() && now < it->second.recovering_until;
+      });
+  const double share =
+      static_cast<double>(recovering) / static_cast<double>(candidates.size());
+  return options_.reported_cost * (1.0 - share);
+}
+
 bool placement::silence_confirmed(const target_state& state) const {
   return state.failures + state.peer_failures >= options_.confirmed_failures;
 }
@@ -70,11 +85,8 @@
                                   time_us duration,
                                   bool was_down,
                                   target_state* state) const {
-  const double cost =
-      was_down ? options_.recovering_cost : options_.reported_cost;
   const bool penalized = now < state->recovering_until;
-  state->recovering_cost =
-      penalized ? std::max(state->recovering_cost, cost) : cost;
+  state->was_down = was_down || (penalized && state->was_down);
   state->recovering_until = std::max(state->recovering_until, now + duration);
 }
 
@@ -238,6 +250,7 @@
   other_zone_cost_ =
       options_.other_zone_cost *
       std::max(0.0, 1.0 - utilization / options_.spillover_utilization);
+  light_recovery_cost_ = light_recovery_cost(now, candidates);
   choice.target = cheapest(now, candidates, false, avoid, &choice.cost);
   if (choice.target == nullptr && avoid != 0)
     choice.target = cheapest(now, candidates, false, 0, &choice.cost);
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -106,6 +106,40 @@
   }
 }
 
+struct recovery_row {
+  const char* name;
+  int recovering;
+  size_t most_flows;  ///< At one target.
+};
+
+// After a zone was cut off, nearly all targets answer again, and peers report
+// it. The few others must not get all flows of all balancers.
+BOOST_AUTO_TEST_CASE(flows_spread_over_targets_that_recover_together) {
+  const recovery_row rows[] = {
+      {"none", 0, 2}, {"one in ten", 1, 2}, {"nine in ten", 9, 2}};
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      table_builder builder;
+      for (int i = 0; i < 10; ++i)
+        builder.add("t" + std::to_string(i), "north");
+      forwarding_fixture balancer(builder);
+      for (int i = 0; i < row.recovering; ++i) {
+        target_report silent = silent_report("t" + std::to_string(i), 1);
+        target_report recovered = silent;
+        recovered.observation = target_observation::recovered;
+        recovered.remaining = 2 * us_per_s;
+        recovered.failures = 0;
+        balancer.core.on_peer_reports(balancer.now, {silent, recovered});
+      }
+      std::map<std::string, size_t> flows;
+      for (uint16_t port = 1; port <= 10; ++port)
+        ++flows[balancer.open_flow(port).target->entry.name];
+      for (const auto& [name, count] : flows)
+        BOOST_TEST(count <= row.most_flows);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(one_lost_packet_of_a_peer_excludes_no_target) {
   forwarding_fixture balancer(three_targets());
   balancer.core.on_peer_reports(balancer.now, {silent_report("a", 1)});
