--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -37,12 +37,10 @@
 struct placement_options {
   placement_hook pick;  ///< For experiments; usually empty.
   std::string zone;     ///< Availability zone of this balancer.
-  /** Cost of a target in another zone while the own zone is idle. */
+  /** Cost of a target in another zone while the own zone is idle. It falls with
+   * the utilization of the own zone's slots, to 0 when all are in use. Open
+   * flows into other zones end when a zone is cut off. */
   double other_zone_cost = 0.75;
-  /** Utilization of the own zone's slots (0 to 1) at which `other_zone_cost`
-   * has fallen to 0. Below 1 since a balancer sees only a part of the load, and
-   * queues form above this. */
-  double spillover_utilization = 0.5;
   /** Time constant of the average of the own zone's load. */
   time_us load_average_time = us_per_s;
   /** Discount of a target of which this balancer owns a slot. Less than the
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -248,8 +248,7 @@
   }
   const double utilization = own_zone_utilization(now, service, candidates);
   other_zone_cost_ =
-      options_.other_zone_cost *
-      std::max(0.0, 1.0 - utilization / options_.spillover_utilization);
+      options_.other_zone_cost * std::max(0.0, 1.0 - utilization);
   light_recovery_cost_ = light_recovery_cost(now, candidates);
   choice.target = cheapest(now, candidates, false, avoid, &choice.cost);
   if (choice.target == nullptr && avoid != 0)
--- a/tests/unit/forwarding_test.cpp
+++ b/tests/unit/forwarding_test.cpp
@@ -473,6 +473,28 @@
   BOOST_TEST(opened["s1"] >= 2);
 }
 
+// Long flows into other zones break when a zone is cut off, and a zone of which
+// half of the slots are in use has no queues yet.
+BOOST_AUTO_TEST_CASE(flows_stay_in_the_own_zone_at_half_of_its_capacity) {
+  table_builder builder;
+  for (int i = 0; i < 4; ++i) {
+    builder.add("n" + std::to_string(i), "north");
+    builder.add("s" + std::to_string(i), "south");
+  }
+  forwarding_fixture balancer(builder);
+  // Each of four balancers has one of four active flows, at eight slots.
+  balancer.core.set_zone_balancers({2, 3, 4});
+  const flow_token token = balancer.open_flow(1).target->token;
+  for (uint32_t acknowledged = 1; acknowledged < 200; ++acknowledged) {
+    balancer.wait(20 * us_per_ms);
+    balancer.send_segment(1, token, acknowledged);
+  }
+  int south = 0;
+  for (uint16_t port = 100; port < 120; ++port)
+    south += balancer.complete_flow(port)[0] == 's' ? 1 : 0;
+  BOOST_TEST(south == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
