--- a/packages/coordination/include/turmeric/coordination/stall_evidence_base.h
+++ b/packages/coordination/include/turmeric/coordination/stall_evidence_base.h
@@ -51,8 +51,9 @@
   /** Time after the first table and after a pause in which this balancer's
    * stalls do not count: routers still move flows between balancers. */
   time_us startup_grace = us_per_s;
-  /** Time between two reports of progress on the same target. */
-  time_us progress_interval = 100 * us_per_ms;
+  /** Time between two reports of progress on the same target. Below
+   * `contradiction_time`, so that one always comes in time. */
+  time_us progress_interval = 50 * us_per_ms;
   /** Most stalls kept for a zone and, of these, from one balancer for one
    * target, so that a faulty peer cannot displace the others. */
   size_t max_zone_stalls = 256;
@@ -176,6 +177,7 @@
 
   void add_stall(time_us now, const forwarding_target& target, stall added);
   void drop_old_stalls(time_us now, zone_state* zone) const;
+  void drop_stalls_of(flow_token token);
   bool target_silent_since(const forwarding_target& target, time_us at) const;
   /** Reports the own stalls that have become evidence. */
   void report_stalls(time_us now, zone_state* zone);
--- a/packages/coordination/src/stall_evidence.cpp
+++ b/packages/coordination/src/stall_evidence.cpp
@@ -155,7 +155,6 @@
       state.loss = {};
     if (disproves(seen, zone.loss))
       zone.loss = {};
-    update_losses(now, target);
     return;
   }
   add_stall(now, target,
@@ -313,7 +312,21 @@
     const bool restarted =
         target != nullptr && it->second.started_unix_ms != 0 &&
         target->entry.started_unix_ms != it->second.started_unix_ms;
-    it = target == nullptr || restarted ? targets_.erase(it) : std::next(it);
+    if (target != nullptr && !restarted) {
+      ++it;
+      continue;
+    }
+    drop_stalls_of(it->first);
+    it = targets_.erase(it);
+  }
+}
+
+void stall_evidence::drop_stalls_of(flow_token token) {
+  for (auto& [name, zone] : zones_) {
+    zone.stalls.erase(
+        std::remove_if(zone.stalls.begin(), zone.stalls.end(),
+                       [&](const stall& s) { return s.token == token; }),
+        zone.stalls.end());
   }
 }
 
--- a/tests/unit/stall_test.cpp
+++ b/tests/unit/stall_test.cpp
@@ -291,6 +291,9 @@
   BOOST_TEST(name_of(f.loss_at(261)) == "target");
   f.apply({step_kind::peer_progress, "b1", 265, 0, 9, request, 400});
   BOOST_TEST(name_of(f.loss_at(266)) == "target");
+  // Nor does it renew one.
+  f.apply({step_kind::peer_progress, "b1", 1900, 0, 9, request, 2000});
+  BOOST_TEST(name_of(f.loss_at(2300)) == "none");
 }
 
 BOOST_AUTO_TEST_CASE(a_restarted_target_starts_without_evidence) {
@@ -308,6 +311,10 @@
     target.entry.started_unix_ms = 2000;
   f.evidence.retain(*builder.table());
   BOOST_TEST(name_of(f.loss_at(310)) == "none");
+  f.table = builder.table();
+  f.apply({step_kind::own_progress, "a1", 350});
+  f.apply({step_kind::own_stall, "b1", 500, 9, 0, opening, 40});
+  BOOST_TEST(name_of(f.loss_at(650)) == "none");
 }
 
 struct report_row {
