--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -254,11 +254,13 @@
                       const segment& s,
                       const forwarding_target& target,
                       flow_state* flow);
-  /** Resets the flow of a repeatable request whose target is lost, so that its
-   * caller goes elsewhere. */
+  /** @return Why the flow of this segment is to be reset, or `continued`. The
+   * flow of a repeatable request is, if its target is lost, so that its caller
+   * goes elsewhere. */
   forwarding_reason reset_reason(time_us now,
                                  const segment& s,
                                  const forwarding_target& target);
+  /** Adds an event for each loss that took effect. */
   void log_losses(time_us now);
   void add_flow(time_us now, const segment& s, flow_token token);
   void end_flow(time_us now, const flow_key& key);
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -150,8 +150,8 @@
     time_us now,
     const segment& s,
     const forwarding_target& target) {
-  const bool repeats_request = s.data_bytes != 0 && !s.flags.resets;
-  if (!repeats_request)
+  const bool carries_request = s.data_bytes != 0 && !s.flags.resets;
+  if (!carries_request)
     return forwarding_reason::continued;
   const loss_scope scope = stalls_.loss_of(now, target);
   log_losses(now);
