--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -95,6 +95,7 @@
   target_reported,     ///< A peer reported on a target.
   flow_reset,          ///< An open flow was reset.
   loss_found,          ///< A target or zone is lost for its open flows.
+  stall_disproved,     ///< A flow moved on here after a peer's stall.
   end
 };
 
@@ -115,8 +116,9 @@
   double cost = 0.0;          ///< Of the chosen target.
   time_us since_opening = 0;
   time_us table_age = 0;  ///< Time since the table was received.
-  stall_tally evidence;   ///< For `loss_found`.
+  loss_event evidence;    ///< For `loss_found`.
   time_us evidence_age = 0;
+  disproof_event disproof;  ///< For `stall_disproved`.
 };
 
 /** Counters of one balancer. */
@@ -262,6 +264,8 @@
                                  const forwarding_target& target);
   /** Adds an event for each loss that took effect. */
   void log_losses(time_us now);
+  /** Adds an event for each stall of a peer that is disproved here. */
+  void log_disproofs(time_us now);
   void add_flow(time_us now, const segment& s, flow_token token);
   void end_flow(time_us now, const flow_key& key);
   void set_active(time_us now, flow_state* flow, bool active);
--- a/packages/coordination/include/turmeric/coordination/stall_evidence_base.h
+++ b/packages/coordination/include/turmeric/coordination/stall_evidence_base.h
@@ -76,12 +76,34 @@
   time_us earliest = 0;
 };
 
+/** A stall that counts for a loss, for the log. */
+struct counted_stall {
+  stall_kind kind = stall_kind::request;
+  uint64_t reporter = 0;  ///< Hashed name; 0: this balancer.
+  uint32_t caller = 0;    ///< Hashed address.
+  time_us age = 0;        ///< Since the opening or request was sent.
+};
+
 /** A loss that took effect, for the log. */
 struct loss_event {
   loss_scope scope = loss_scope::none;
   flow_token token = 0;  ///< The target, or that of the last stall of a zone.
   std::string zone;
   stall_tally tally;
+  std::vector<counted_stall> stalls;
+  /** Time since the last progress seen here and reported by peers, of the
+   * target or the zone; INT64_MAX if there was none. */
+  time_us progress_age = INT64_MAX;
+  time_us peer_progress_age = INT64_MAX;
+};
+
+/** A peer's stall that progress at this balancer disproves, for the log. */
+struct disproof_event {
+  flow_token token = 0;
+  uint64_t reporter = 0;
+  time_us stall_age = 0;
+  time_us progress_age = 0;
+  bool told = false;  ///< Whether the progress was reported to peers.
 };
 
 /** Collects stalls and progress of one balancer and its peers. For the traffic
@@ -131,6 +153,11 @@
   /** @return Losses that took effect since the last call. */
   std::vector<loss_event> take_losses() { return std::exchange(losses_, {}); }
 
+  /** @return Peers' stalls disproved here since the last call. */
+  std::vector<disproof_event> take_disproofs() {
+    return std::exchange(disproofs_, {});
+  }
+
   /** Removes the state of targets that are not in @p table or restarted. */
   void retain(const forwarding_table& table);
 
@@ -201,6 +228,10 @@
                     const zone_state& zone,
                     flow_token token,
                     time_us since) const;
+  /** @return The stalls that count(), at any time. */
+  std::vector<counted_stall> counted_stalls(time_us now,
+                                            const zone_state& zone,
+                                            flow_token token) const;
   bool target_complete(const stall_tally& tally) const;
   bool zone_complete(const stall_tally& tally) const;
   bool enough_witnesses(const stall_tally& tally) const;
@@ -222,6 +253,7 @@
   std::array<recent_progress, 2> recent_{};
   std::vector<stall_report> reports_;
   std::vector<loss_event> losses_;
+  std::vector<disproof_event> disproofs_;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -16,11 +16,17 @@
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_event_kind::end)>
-    event_names = {"flow placed",          "flow refused",
-                   "segment dropped",      "flow answered",
-                   "flow ended",           "target left an opening unanswered",
-                   "target answers again", "target reported by a peer",
-                   "open flow reset",      "lost for open flows"};
+    event_names = {"flow placed",
+                   "flow refused",
+                   "segment dropped",
+                   "flow answered",
+                   "flow ended",
+                   "target left an opening unanswered",
+                   "target answers again",
+                   "target reported by a peer",
+                   "open flow reset",
+                   "lost for open flows",
+                   "stall disproved by progress"};
 /** Most events kept until they are taken for the log. Events beyond it are
  * dropped and counted in `events_lost`; the other counters include them. */
 constexpr size_t max_events = 64;
@@ -114,6 +120,7 @@
     ++counters_.reports;
     stalls_.on_report(now, *target, reporter, stall);
   }
+  log_disproofs(now);
 }
 
 forwarding_decision forwarding_core::on_segment(time_us now, const segment& s) {
@@ -180,8 +187,19 @@
     event.reason = loss.scope == loss_scope::zone
                        ? forwarding_reason::zone_lost
                        : forwarding_reason::target_lost;
-    event.evidence = loss.tally;
     event.evidence_age = now - loss.tally.earliest;
+    event.evidence = loss;
+  }
+}
+
+void forwarding_core::log_disproofs(time_us now) {
+  for (const auto& disproof : stalls_.take_disproofs()) {
+    if (events_.size() >= max_events) {
+      ++counters_.events_lost;
+      continue;
+    }
+    add_event(now, forwarding_event_kind::stall_disproved, {}, disproof.token);
+    events_.back().disproof = disproof;
   }
 }
 
--- a/packages/coordination/src/stall_evidence.cpp
+++ b/packages/coordination/src/stall_evidence.cpp
@@ -162,6 +162,11 @@
              seen - options_.report_delay, true, true});
   report_stalls(now, &zone);
   contradict_peers(now, target);
+  if (state.progress > seen && disproofs_.size() < max_pending) {
+    disproofs_.push_back({target.token, reporter, now - seen,
+                          now - state.progress,
+                          state.progress_reported >= state.progress});
+  }
   update_losses(now, target);
 }
 
@@ -284,8 +289,30 @@
     return;
   const zone_state& zone = zones_[target.entry.zone];
   const flow_token token = scope == loss_scope::zone ? 0 : target.token;
-  losses_.push_back(
-      {scope, target.token, target.entry.zone, count(now, zone, token, 0)});
+  loss_event event{scope, target.token, target.entry.zone,
+                   count(now, zone, token, 0),
+                   counted_stalls(now, zone, token)};
+  const target_state& state = state_of(target);
+  const time_us own = token == 0 ? zone.progress : state.progress;
+  const time_us peers = token == 0 ? zone.peer_progress : state.peer_progress;
+  if (own != 0)
+    event.progress_age = now - own;
+  if (peers != 0)
+    event.peer_progress_age = now - peers;
+  losses_.push_back(std::move(event));
+}
+
+std::vector<counted_stall> stall_evidence::counted_stalls(
+    time_us now,
+    const zone_state& zone,
+    flow_token token) const {
+  std::vector<counted_stall> out;
+  for (const stall& s : zone.stalls) {
+    if (s.qualified && (token == 0 || s.token == token) &&
+        now - s.sent < options_.stall_lifetime)
+      out.push_back({s.kind, s.reporter, s.caller, now - s.sent});
+  }
+  return out;
 }
 
 loss_scope stall_evidence::loss_of(time_us now,
--- a/tests/unit/stall_test.cpp
+++ b/tests/unit/stall_test.cpp
@@ -393,6 +393,27 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(disproved_stalls_and_the_evidence_of_losses_are_logged) {
+  lost_target_fixture f;
+  f.loss_at(300);
+  const auto losses = f.evidence.take_losses();
+  BOOST_REQUIRE(losses.size() == 1);
+  BOOST_REQUIRE(losses[0].stalls.size() == 3);
+  BOOST_TEST((losses[0].stalls[0].kind == opening));
+  BOOST_TEST(losses[0].stalls[2].reporter == 7);
+  BOOST_TEST(losses[0].progress_age == INT64_MAX);
+  stall_evidence witness("north", defaults);
+  witness.set_balancers(5);
+  apply_step(&witness, *f.table, f.start, {step_kind::own_progress, "b2", 310});
+  apply_step(&witness, *f.table, f.start,
+             {step_kind::peer_stall, "b2", 320, 4, 8, request, 50});
+  const auto disproofs = witness.take_disproofs();
+  BOOST_REQUIRE(disproofs.size() == 1);
+  BOOST_TEST(disproofs[0].reporter == 8);
+  BOOST_TEST(disproofs[0].progress_age == 10 * us_per_ms);
+  BOOST_TEST(!disproofs[0].told);
+}
+
 struct caller_row {
   route_kind kind;
   forwarding_action expected;
