--- a/tests/emulator/emu_plan.cpp
+++ b/tests/emulator/emu_plan.cpp
@@ -63,7 +63,8 @@
   std::mt19937_64 random(options.seed * 0xd1342543de82ef95u + 11);
   options.shape.streams = streams;
   constexpr auto first = static_cast<uint64_t>(emu_disruption::lossy_link);
-  constexpr auto kinds = static_cast<uint64_t>(emu_disruption::end) - first;
+  constexpr auto kinds =
+      static_cast<uint64_t>(emu_disruption::target_slow) + 1 - first;
   for (uint64_t i = random() % 3; i != 0; --i) {
     options.events.push_back(event_of(
         &random, static_cast<emu_disruption>(first + random() % kinds)));
@@ -71,6 +72,36 @@
   return options;
 }
 
+emu_options large_fleet_run(uint64_t seed, emu_disruption disruption) {
+  std::mt19937_64 random(seed * 0xa0761d6478bd642fu + 13);
+  emu_options options;
+  options.seed = seed;
+  options.duration = 20 * us_per_s;
+  emu_shape& shape = options.shape;
+  shape.balancers = 67;
+  shape.services = {{"bookings", 120}, {"intake", 30}};
+  shape.request_classes = {{"status", "bookings", true, 0.0, 55 * us_per_ms,
+                            500 * us_per_ms, 2500 * us_per_ms},
+                           {"booking", "bookings", false, 3.0, 72 * us_per_ms,
+                            600 * us_per_ms, 3 * us_per_s},
+                           {"upload", "intake", false, 1.0, 5 * us_per_ms,
+                            1200 * us_per_ms, 6 * us_per_s}};
+  shape.requests_per_s = 1500;
+  shape.streams = 1500 + random() % 1000;
+  const uint64_t stops = 20 + random() % 60;
+  for (uint64_t i = 0; i < stops; ++i) {
+    emu_event event = event_of(&random, emu_disruption::balancer_stop);
+    event.start = us_per_s + static_cast<time_us>(i) * 12 * us_per_s /
+                                 static_cast<time_us>(stops);
+    options.events.push_back(event);
+  }
+  for (uint64_t i = random() % 12; i != 0; --i)
+    options.events.push_back(event_of(&random, disruption));
+  for (uint64_t i = random() % 4; i != 0; --i)
+    options.events.push_back(event_of(&random, emu_disruption::target_slow));
+  return options;
+}
+
 emu_options single_disruption_run(uint64_t seed, emu_disruption disruption) {
   emu_options options = random_run(seed, 1);
   std::mt19937_64 random(seed);
--- a/tests/emulator/emu_plan.h
+++ b/tests/emulator/emu_plan.h
@@ -18,6 +18,11 @@
  * that must not be taken for the loss of a target, drawn from the seed. */
 emu_options with_streams(emu_options options, size_t streams);
 
+/** @return A fleet of 67 balancers with long flows, in which many balancers are
+ * restarted one after the other, some are affected by @p disruption and some
+ * targets are slow, drawn from the seed. */
+emu_options large_fleet_run(uint64_t seed, emu_disruption disruption);
+
 /** @return A run with @p disruption as its only disruption. */
 emu_options single_disruption_run(uint64_t seed, emu_disruption disruption);
 
--- a/tests/emulator/emu_rules.cpp
+++ b/tests/emulator/emu_rules.cpp
@@ -28,7 +28,7 @@
   const time_us now = clock_.now();
   const bool connected =
       !b.isolated && !b.refused_by_store && !zone_disturbed(b.zone);
-  return b.running && !b.frozen && connected &&
+  return b.running && !b.frozen && b.slowdowns == 0 && connected &&
          now - b.disturbed_at >= emu_grace_period && !store_down_ &&
          !store_silent_ && now - store_disturbed_at_ >= emu_grace_period;
 }
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -236,8 +236,12 @@
 
 void emu_world::disrupt_quality(const emu_event& event) {
   std::vector<int*> counts;
-  const balancer* chosen = balancers_[event.selector % balancers_.size()].get();
-  if (event.kind == emu_disruption::target_slow) {
+  balancer* chosen = balancers_[event.selector % balancers_.size()].get();
+  if (event.kind == emu_disruption::balancer_slow) {
+    counts = {&chosen->slowdowns};
+    clock_.after(event.duration,
+                 [this, chosen] { chosen->disturbed_at = clock_.now(); });
+  } else if (event.kind == emu_disruption::target_slow) {
     if (target* t = pick_target(event.selector))
       counts = {&t->slowdowns};
   } else {
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -59,6 +59,8 @@
   lossy_link,   ///< A balancer loses a third of its packets.
   lossy_zone,   ///< The same for all balancers of a zone.
   target_slow,  ///< Takes eight times as long for its work.
+  // Drawn for large fleets only.
+  balancer_slow,  ///< Takes some milliseconds for each packet and message.
   end
 };
 
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -15,6 +15,10 @@
 constexpr time_us restart_time = 300 * us_per_ms;
 constexpr time_us stop_time = 2 * us_per_s;
 constexpr time_us expiry_check_interval = 100 * us_per_ms;
+/** Longest time of a slow balancer for one event. */
+constexpr time_us max_slow_event = 6 * us_per_ms;
+/** Events of a slow balancer that would wait longer are lost. */
+constexpr time_us max_slow_backlog = 400 * us_per_ms;
 
 std::string zone_name(size_t zone) {
   return "zone-" + std::to_string(zone);
@@ -164,10 +168,26 @@
     return;
   if (b->frozen)
     b->backlog.push_back(std::move(event));
+  else if (b->slowdowns != 0)
+    run_on_slow_balancer(b, std::move(event));
   else
     event();
 }
 
+void emu_world::run_on_slow_balancer(balancer* b, sim_clock::event event) {
+  const time_us now = clock_.now();
+  b->busy_until =
+      std::max(now, b->busy_until) +
+      static_cast<time_us>(random() % static_cast<uint64_t>(max_slow_event));
+  if (b->busy_until - now > max_slow_backlog)
+    return;
+  clock_.after(b->busy_until - now,
+               [b, generation = b->generation, event = std::move(event)] {
+                 if (b->generation == generation && b->running)
+                   event();
+               });
+}
+
 void emu_world::schedule_directory_tick(balancer* b) {
   const uint64_t generation = b->generation;
   const time_us due =
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -40,6 +40,8 @@
     bool refused_by_store = false;  ///< By the store.
     bool isolated = false;          ///< Reachable by callers only.
     int lossy_links = 0;            ///< Disruptions by which it loses packets.
+    int slowdowns = 0;              ///< Disruptions by which it is slow.
+    time_us busy_until = 0;         ///< While it is slow.
     int failed_probes = 0;
     uint64_t generation = 0;  ///< Changes at start and end of the process.
     time_us disturbed_at = 0;
@@ -124,6 +126,8 @@
   void schedule_directory_tick(balancer* b);
   void schedule_forwarding_tick(balancer* b);
   void run_on_balancer(balancer* b, sim_clock::event event);
+  /** Runs an event after those that wait; drops it if too many do. */
+  void run_on_slow_balancer(balancer* b, sim_clock::event event);
   void probe_all();
   balancer* choose_balancer(size_t zone, const flow_key& key);
   bool reachable(size_t a_zone, size_t b_zone) const;
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -21,7 +21,7 @@
     "               [--streams N] [--trouble NAME]\n"
     "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
     "               [--balancers N]\n"
-    "               [--targets N] [--reads N] [--recovery]\n"
+    "               [--targets N] [--reads N] [--recovery] [--large]\n"
     "\n"
     "Runs installations in virtual time, from seed N on, and prints violated\n"
     "promises.\n"
@@ -44,7 +44,10 @@
     "  -T, --targets N     targets of the first service (14)\n"
     "  -S, --reads N       calls per second that the store accepts (2000)\n"
     "  -R, --recovery      run each trouble alone and print the time until\n"
-    "                      service recovers\n";
+    "                      service recovers\n"
+    "  -G, --large         a large fleet with long flows and many restarts; "
+    "some\n"
+    "                      balancers have lossy links, or the trouble given\n";
 
 struct command_line {
   uint64_t seed = 1;
@@ -56,6 +59,7 @@
   emu_injected_fault plant = emu_injected_fault::none;
   bool report = false;
   bool recovery = false;
+  bool large = false;
   std::string follow;
   size_t balancers = 0;  ///< 0: drawn from the seed.
   size_t targets = 0;    ///< 0: the default.
@@ -82,6 +86,10 @@
 emu_options options_of(const command_line& line, uint64_t seed) {
   if (line.plant != emu_injected_fault::none)
     return injected_fault_run(seed, line.plant);
+  if (line.large)
+    return large_fleet_run(seed, line.trouble == emu_disruption::end
+                                     ? emu_disruption::lossy_link
+                                     : line.trouble);
   if (line.trouble != emu_disruption::end) {
     emu_options options = single_disruption_run(seed, line.trouble);
     options.shape.streams = line.streams;
@@ -209,10 +217,11 @@
                             {"targets", required_argument, nullptr, 'T'},
                             {"reads", required_argument, nullptr, 'S'},
                             {"recovery", no_argument, nullptr, 'R'},
+                            {"large", no_argument, nullptr, 'G'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:L:o:p:f:B:T:S:lrRh",
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:L:o:p:f:B:T:S:lrRGh",
                                    options, nullptr)) != -1;) {
     switch (c) {
       case 's':
@@ -255,6 +264,9 @@
       case 'R':
         line.recovery = true;
         break;
+      case 'G':
+        line.large = true;
+        break;
       case 'r':
         line.report = true;
         break;
--- /dev/null
+++ b/tests/unit/open_flow_test.cpp
@@ -0,0 +1,97 @@
+/** @file open_flow_test.cpp What callers get on flows that are open. */
+#include <boost/test/unit_test.hpp>
+
+#include "forwarding_fixture.h"
+
+namespace turmeric {
+namespace {
+
+/** Targets a1 to a3 are in the own zone, b1 to b3 in another. */
+table_builder two_zones() {
+  table_builder builder;
+  for (const char* name : {"a1", "a2", "a3"})
+    builder.add(name, "north");
+  for (const char* name : {"b1", "b2", "b3"})
+    builder.add(name, "south");
+  return builder;
+}
+
+struct silence_row {
+  const char* name;
+  /** Targets whose answers do not reach the callers. */
+  std::vector<const char*> silent;
+  route_kind kind;
+};
+
+/** Callers whose requests stay unanswered at the targets named. */
+struct silence_fixture : forwarding_fixture {
+  explicit silence_fixture(const table_builder& builder)
+      : forwarding_fixture(builder) {}
+
+  /** Sends the request of an open flow, or repeats it. */
+  forwarding_decision send_request(uint16_t port, const char* target) {
+    segment s = segment_from(port);
+    s.source.ip += port;  // A caller for each flow.
+    s.flags.acknowledges = true;
+    s.token = token_of(target);
+    s.acknowledged = 1;
+    s.sequence = 50;
+    s.data_bytes = 100;
+    return core.on_segment(now, s);
+  }
+
+  /** Opens flows until each of @p targets has left an opening unanswered. */
+  void leave_openings_unanswered(const std::vector<const char*>& targets) {
+    std::set<std::string> missing(targets.begin(), targets.end());
+    for (uint16_t port = 1000; port < 1200 && !missing.empty(); ++port) {
+      const auto opened = open_flow(port);
+      missing.erase(opened.target->entry.name);
+    }
+    BOOST_TEST(missing.empty());
+    wait(options().answer_timeout);
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(open_flow_suite)
+
+// A target that serves looks the same if its answers pass another balancer.
+BOOST_AUTO_TEST_CASE(silence_seen_by_a_balancer_resets_no_open_flow) {
+  const silence_row rows[] = {
+      {"one target", {"b1"}, route_kind::safe},
+      {"one target of the own zone", {"a1"}, route_kind::safe},
+      {"one target, downloads", {"b1"}, route_kind::download},
+      {"a whole zone", {"b1", "b2", "b3"}, route_kind::safe},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      table_builder builder = two_zones();
+      routing_entry routing = std::get<routing_entry>(*builder.input.routing);
+      routing.routes[0].kind = row.kind;
+      builder.input.routing = std::make_shared<const directory_value>(routing);
+      silence_fixture balancer(builder);
+      balancer.wait(2 * us_per_s);
+      balancer.leave_openings_unanswered(row.silent);
+      std::vector<std::pair<uint16_t, const char*>> flows;
+      for (uint16_t port = 1; port <= 6; ++port)
+        flows.emplace_back(port, row.silent[port % row.silent.size()]);
+      for (const auto& [port, target] : flows)
+        balancer.send_request(port, target);
+      // Flows of another target move on all the time.
+      const char* answering = std::string(row.silent[0]) == "a1" ? "a2" : "a3";
+      for (uint32_t round = 1; round <= 20; ++round) {
+        balancer.wait(200 * us_per_ms);
+        balancer.send_segment(500, token_of(answering), round);
+        for (const auto& [port, target] : flows) {
+          const auto repeated = balancer.send_request(port, target);
+          BOOST_TEST((repeated.action == forwarding_action::forward));
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace turmeric
