--- a/apps/turmericstream/explain_page.cpp
+++ b/apps/turmericstream/explain_page.cpp
@@ -49,7 +49,7 @@
 
 /** The first row that matches any line of the flow gives the cause, so specific
  * failures come before general outcomes. */
-constexpr std::array<cause_row, 10> causes = {{
+constexpr std::array<cause_row, 8> causes = {{
     {"flow refused", "no_target",
      "Refused: the route's services had no target that may take new flows. See "
      "the entries below, `forwarder targets` and withdrawn zones."},
@@ -60,12 +60,6 @@
      "the table is older than the flow, or the target was removed long ago."},
     {"segment dropped", "no_table",
      "Dropped: the balancer had no table yet; see its start below."},
-    {"open flow reset", "target_lost",
-     "Reset: its target answered nobody any more, so that the caller could go "
-     "elsewhere; see `lost for open flows` for the evidence."},
-    {"open flow reset", "zone_lost",
-     "Reset: the zone of its target was cut off from here; see `lost for open "
-     "flows` for the evidence."},
     {"target left an opening unanswered", "",
      "Late: its first target left the opening unanswered; the caller's "
      "repeated opening went to another target."},
--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -124,8 +124,7 @@
   /** Most receivers of a message about targets, those of the own zone first:
    * 64 messages of about 150 bytes. */
   size_t report_fanout = 64;
-  /** Most observations of each type in a message, so that it fits a datagram.
-   */
+  /** Most observations in a message, so that it fits a datagram. */
   size_t max_reports = 32;
 };
 
@@ -152,9 +151,9 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
-/** A heartbeat of a balancer in another zone has arrived. */
-struct zone_heartbeat {
-  std::string zone;
+/** Hands observations of targets by peers to the traffic thread. */
+struct reported_targets {
+  std::vector<target_report> reports;
 };
 
 /** What the adapters must do for the directory core. */
@@ -162,8 +161,7 @@
                                       send_peer_message,
                                       publish_table,
                                       directory_log_line,
-                                      reported_targets,
-                                      zone_heartbeat>;
+                                      reported_targets>;
 
 class directory_core {
  public:
@@ -181,7 +179,8 @@
   actions on_peer_message(time_us now, const peer_message& message);
 
   /** Sends observations of targets by the own traffic thread to peers. */
-  actions on_local_reports(time_us now, const target_observations& seen);
+  actions on_local_reports(time_us now,
+                           const std::vector<target_report>& reports);
 
   actions tick(time_us now);
 
@@ -375,8 +374,8 @@
   time_us started_ = 0;
   time_us next_round_ = 0;
   time_us next_forget_ = 0;
-  time_us next_pull_ = INT64_MAX;        ///< While some kind is not loaded.
-  target_observations pending_reports_;  ///< Not yet sent.
+  time_us next_pull_ = INT64_MAX;  ///< While some kind is not loaded.
+  std::vector<target_report> pending_reports_;  ///< Not yet sent.
   time_us reports_sent_ = 0;
   /** Reports of peers until the first table is published. */
   std::vector<target_report> early_reports_;
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -15,14 +15,12 @@
 #include <vector>
 
 #include "turmeric/coordination/placement_base.h"
-#include "turmeric/coordination/stall_evidence_base.h"
 #include "turmeric/coordination/traffic_metrics_base.h"
 
 namespace turmeric {
 
 struct forwarding_options {
   placement_options placing;
-  stall_options stalls;
   /** An opening counts as unanswered if its caller sends no further segment for
    * this long. Several times a usual handshake of 5 to 10 ms. */
   time_us answer_timeout = 40 * us_per_ms;
@@ -68,8 +66,6 @@
   unknown_token,  ///< The token names no target.
   not_a_caller,   ///< A segment that only targets send.
   paused,         ///< Dropped after a pause of the process; see on_pause().
-  target_lost,    ///< Its target no longer answers anybody.
-  zone_lost,      ///< The zone of its target is cut off from here.
   end
 };
 
@@ -93,9 +89,6 @@
   opening_unanswered,  ///< A target left an opening unanswered.
   target_recovered,    ///< A target answered after unanswered openings.
   target_reported,     ///< A peer reported on a target.
-  flow_reset,          ///< An open flow was reset.
-  loss_found,          ///< A target or zone is lost for its open flows.
-  stall_disproved,     ///< A flow moved on here after a peer's stall.
   end
 };
 
@@ -116,9 +109,6 @@
   double cost = 0.0;          ///< Of the chosen target.
   time_us since_opening = 0;
   time_us table_age = 0;  ///< Time since the table was received.
-  loss_event evidence;    ///< For `loss_found`.
-  time_us evidence_age = 0;
-  disproof_event disproof;  ///< For `stall_disproved`.
 };
 
 /** Counters of one balancer. */
@@ -146,11 +136,6 @@
   bool quiet_check_pending = false;
   bool answered_check_pending = false;
   bool ended = false;  ///< Closed by the caller; its last segments follow.
-  /** Of the request that awaits its answer: its first segment's sequence
-   * number, when that was first forwarded, and whether others followed. */
-  uint32_t request_sequence = 0;
-  time_us request_sent = 0;
-  bool request_has_more = false;
 };
 /** Decides on the segments of one balancer. For the traffic thread only. */
 class forwarding_core {
@@ -164,7 +149,6 @@
    * new ones during `resume_delay`, in which the directory may be updated. */
   void on_pause(time_us now) {
     drop_openings_until_ = now + options_.resume_delay;
-    stalls_.restart(now);
   }
 
   /** Sets the balancers that share the targets; see placement. */
@@ -186,20 +170,9 @@
   /** Ignores reports on unknown targets. */
   void on_peer_reports(time_us now, const std::vector<target_report>& reports);
 
-  /** The same for stalls and progress.
-   * @param reporter Hashed name of the peer. */
-  void on_peer_stalls(time_us now,
-                      uint64_t reporter,
-                      const std::vector<stall_report>& stalls);
-
-  /** Records a heartbeat from a balancer of another zone. */
-  void on_zone_heartbeat(time_us now, const std::string& zone) {
-    stalls_.on_zone_heartbeat(now, zone);
-  }
-
-  /** @return Observations for peers since the last call. */
-  target_observations take_reports() {
-    return {placement_.take_reports(), stalls_.take_reports()};
+  /** @return Reports for peers since the last call. */
+  std::vector<target_report> take_reports() {
+    return placement_.take_reports();
   }
 
   /** Decides on a caller's segment. The decision's target lives as long as the
@@ -251,21 +224,6 @@
   void record_segment(time_us now,
                       const segment& s,
                       const forwarding_target& target);
-  /** Records a segment with data, and a stall if it repeats a request. */
-  void record_request(time_us now,
-                      const segment& s,
-                      const forwarding_target& target,
-                      flow_state* flow);
-  /** @return Why the flow of this segment is to be reset, or `continued`. The
-   * flow of a repeatable request is, if its target is lost, so that its caller
-   * goes elsewhere. */
-  forwarding_reason reset_reason(time_us now,
-                                 const segment& s,
-                                 const forwarding_target& target);
-  /** Adds an event for each loss that took effect. */
-  void log_losses(time_us now);
-  /** Adds an event for each stall of a peer that is disproved here. */
-  void log_disproofs(time_us now);
   void add_flow(time_us now, const segment& s, flow_token token);
   void end_flow(time_us now, const flow_key& key);
   void set_active(time_us now, flow_state* flow, bool active);
@@ -290,7 +248,6 @@
 
   forwarding_options options_;
   placement placement_;
-  stall_evidence stalls_;
   std::shared_ptr<const forwarding_table> table_;
   std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
   std::deque<flow_check> answer_checks_;
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -501,7 +501,7 @@
   if (first)
     announce_to_group(now, out);
   if (!early_reports_.empty())
-    out->push_back(reported_targets{std::exchange(early_reports_, {}), 0, {}});
+    out->push_back(reported_targets{std::exchange(early_reports_, {})});
 }
 
 directory_core::actions directory_core::tick(time_us now) {
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -154,8 +154,6 @@
   // once which changes either side lacks.
   if (result != hello_result::known)
     out->push_back(send_peer_message{hello.address, make_hello(now)});
-  if (hello.zone != options_.peers.zone)
-    out->push_back(zone_heartbeat{hello.zone});
   known_peer* peer = peers_.find(hello.address);
   if (result != hello_result::known)
     send_recent_reports(now, *peer, out);
--- a/packages/coordination/src/directory_core_reports.cpp
+++ b/packages/coordination/src/directory_core_reports.cpp
@@ -16,17 +16,13 @@
 
 directory_core::actions directory_core::on_local_reports(
     time_us now,
-    const target_observations& seen) {
+    const std::vector<target_report>& reports) {
   actions out;
-  for (const auto& report : seen.reports) {
-    if (pending_reports_.reports.size() < options_.max_reports)
-      pending_reports_.reports.push_back(report);
+  for (const auto& report : reports) {
+    if (pending_reports_.size() < options_.max_reports)
+      pending_reports_.push_back(report);
     record_report(now, report);
   }
-  for (const auto& stall : seen.stalls) {
-    if (pending_reports_.stalls.size() < options_.max_reports)
-      pending_reports_.stalls.push_back(stall);
-  }
   if (now - reports_sent_ >= options_.report_interval)
     send_reports(now, &out);
   return out;
@@ -50,10 +46,8 @@
   if (pending_reports_.empty())
     return;
   reports_sent_ = now;
-  target_observations pending = std::exchange(pending_reports_, {});
   const peer_reports message{options_.peers.address, options_.incarnation,
-                             ++sequence_, std::move(pending.reports),
-                             std::move(pending.stalls)};
+                             ++sequence_, std::exchange(pending_reports_, {})};
   for (const endpoint& to : peers_.nearest(now, options_.report_fanout))
     out->push_back(send_peer_message{to, message});
 }
@@ -62,7 +56,7 @@
                                          const known_peer& peer,
                                          actions* out) {
   peer_reports message{
-      options_.peers.address, options_.incarnation, ++sequence_, {}, {}};
+      options_.peers.address, options_.incarnation, ++sequence_, {}};
   for (auto it = recent_reports_.begin(); it != recent_reports_.end();) {
     const auto& [report, expires] = it->second;
     if (expires <= now) {
@@ -87,12 +81,11 @@
   // A stale message would restore observations that have been superseded.
   if (peer == nullptr || peer->hello.incarnation != message.incarnation ||
       message.sequence <= peer->reports_sequence ||
-      message.reports.size() > options_.max_reports ||
-      message.stalls.size() > options_.max_reports)
+      message.reports.size() > options_.max_reports)
     return;
   peer->reports_sequence = message.sequence;
   if (published_) {
-    out->push_back(reported_targets{message.reports, peer->id, message.stalls});
+    out->push_back(reported_targets{message.reports});
     return;
   }
   for (const auto& report : message.reports) {
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -10,23 +10,16 @@
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_reason::end)>
-    reason_names = {"opened",       "repeated", "moved",       "continued",
-                    "no_table",     "no_route", "no_target",   "unknown_token",
-                    "not_a_caller", "paused",   "target_lost", "zone_lost"};
+    reason_names = {"opened",       "repeated", "moved",     "continued",
+                    "no_table",     "no_route", "no_target", "unknown_token",
+                    "not_a_caller", "paused"};
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_event_kind::end)>
-    event_names = {"flow placed",
-                   "flow refused",
-                   "segment dropped",
-                   "flow answered",
-                   "flow ended",
-                   "target left an opening unanswered",
-                   "target answers again",
-                   "target reported by a peer",
-                   "open flow reset",
-                   "lost for open flows",
-                   "stall disproved by progress"};
+    event_names = {"flow placed",          "flow refused",
+                   "segment dropped",      "flow answered",
+                   "flow ended",           "target left an opening unanswered",
+                   "target answers again", "target reported by a peer"};
 /** Most events kept until they are taken for the log. Events beyond it are
  * dropped and counted in `events_lost`; the other counters include them. */
 constexpr size_t max_events = 64;
@@ -38,11 +31,6 @@
   return static_cast<int32_t>(a - b) > 0;
 }
 
-/** @return A hash of the caller's address without its port. */
-uint32_t caller_id(const endpoint& caller) {
-  return static_cast<uint32_t>(hash_pair(caller.ip, 0));
-}
-
 /** @return The service of a new flow, chosen by weight from the hash of its
  * key, so that retransmitted openings get the same one. */
 const std::string& service_of(const route_entry& route, const flow_key& key) {
@@ -74,24 +62,19 @@
                                  random_source random)
     : options_(options),
       placement_(options.placing, std::move(random)),
-      stalls_(options.placing.zone, options.stalls),
       answer_times_(make_latency_histogram()) {}
 
 void forwarding_core::set_table(time_us now,
                                 std::shared_ptr<const forwarding_table> table) {
-  if (table_ == nullptr) {
+  if (table_ == nullptr)
     placement_.on_first_table(now);
-    stalls_.restart(now);
-  }
   table_ = std::move(table);
   table_since_ = now;
   placement_.retain(*table_);
-  stalls_.retain(*table_);
 }
 
 void forwarding_core::set_balancers(uint64_t self,
                                     std::vector<uint64_t> others) {
-  stalls_.set_balancers(others.size());
   placement_.set_balancers(self, std::move(others));
 }
 
@@ -109,20 +92,6 @@
   }
 }
 
-void forwarding_core::on_peer_stalls(time_us now,
-                                     uint64_t reporter,
-                                     const std::vector<stall_report>& stalls) {
-  for (const auto& stall : stalls) {
-    const forwarding_target* target =
-        table_ == nullptr ? nullptr : table_->target_of(stall.token);
-    if (target == nullptr || stall.kind >= stall_kind::end)
-      continue;
-    ++counters_.reports;
-    stalls_.on_report(now, *target, reporter, stall);
-  }
-  log_disproofs(now);
-}
-
 forwarding_decision forwarding_core::on_segment(time_us now, const segment& s) {
   forwarding_decision decision = decide(now, s);
   ++counters_.reasons[static_cast<size_t>(decision.reason)];
@@ -146,61 +115,7 @@
         forwarding_action::drop, forwarding_reason::unknown_token, nullptr, {}};
   }
   record_segment(now, s, *target);
-  const forwarding_reason reason = reset_reason(now, s, *target);
-  if (reason == forwarding_reason::continued)
-    return {forwarding_action::forward, reason, target, {}};
-  end_flow(now, key_of(s));
-  return {forwarding_action::reset, reason, target, {}};
-}
-
-forwarding_reason forwarding_core::reset_reason(
-    time_us now,
-    const segment& s,
-    const forwarding_target& target) {
-  const bool carries_request = s.data_bytes != 0 && !s.flags.resets;
-  if (!carries_request)
-    return forwarding_reason::continued;
-  const loss_scope scope = stalls_.loss_of(now, target);
-  log_losses(now);
-  if (scope == loss_scope::none)
-    return forwarding_reason::continued;
-  // A request that must not run twice waits instead: its caller could not send
-  // it again anyway, and the answer may still come.
-  const route_entry* route = table_->route_at(s.destination);
-  const bool repeatable =
-      route != nullptr &&
-      (route->kind == route_kind::safe || route->kind == route_kind::download);
-  if (!repeatable)
-    return forwarding_reason::continued;
-  return scope == loss_scope::zone ? forwarding_reason::zone_lost
-                                   : forwarding_reason::target_lost;
-}
-
-void forwarding_core::log_losses(time_us now) {
-  for (const auto& loss : stalls_.take_losses()) {
-    if (events_.size() >= max_events) {
-      ++counters_.events_lost;
-      continue;
-    }
-    add_event(now, forwarding_event_kind::loss_found, {}, loss.token);
-    forwarding_event& event = events_.back();
-    event.reason = loss.scope == loss_scope::zone
-                       ? forwarding_reason::zone_lost
-                       : forwarding_reason::target_lost;
-    event.evidence_age = now - loss.tally.earliest;
-    event.evidence = loss;
-  }
-}
-
-void forwarding_core::log_disproofs(time_us now) {
-  for (const auto& disproof : stalls_.take_disproofs()) {
-    if (events_.size() >= max_events) {
-      ++counters_.events_lost;
-      continue;
-    }
-    add_event(now, forwarding_event_kind::stall_disproved, {}, disproof.token);
-    events_.back().disproof = disproof;
-  }
+  return {forwarding_action::forward, forwarding_reason::continued, target, {}};
 }
 
 forwarding_decision forwarding_core::on_opening(time_us now, const segment& s) {
@@ -293,10 +208,7 @@
     // it does not show that the target is alive; later segments may.
     if (!closes && flows_.size() < options_.max_flows) {
       add_flow(now, s, target.token);
-      flow_state& added = flows_[key];
-      added.answered = true;
-      if (s.data_bytes != 0)
-        record_request(now, s, target, &added);
+      flows_[key].answered = true;
       placement_.on_flow_resumed(now, target);
     }
     return;
@@ -318,8 +230,6 @@
     record_answer(now, key, target);
     flow.acknowledged = s.acknowledged;
   }
-  if (s.data_bytes != 0)
-    record_request(now, s, target, &flow);
   // The first acknowledgement is that of the handshake; the request follows.
   if (s.data_bytes != 0 || !flow.answered)
     flow.awaits_answer = true;
@@ -341,25 +251,6 @@
     answered_checks_.push_back({now + options_.answered_timeout, key});
 }
 
-void forwarding_core::record_request(time_us now,
-                                     const segment& s,
-                                     const forwarding_target& target,
-                                     flow_state* flow) {
-  const bool first = !flow->awaits_answer || flow->request_sent == 0;
-  if (first) {
-    flow->request_sequence = s.sequence;
-    flow->request_sent = now;
-    flow->request_has_more = false;
-  } else if (is_later(s.sequence, flow->request_sequence)) {
-    flow->request_has_more = true;
-  } else if (!flow->request_has_more &&
-             now - flow->request_sent >= options_.min_retransmit_time) {
-    // Of a longer request, single segments are repeated while others move on.
-    stalls_.on_stall(now, target, stall_kind::request, caller_id(s.source),
-                     flow->request_sent);
-  }
-}
-
 void forwarding_core::record_answer(time_us now,
                                     const flow_key& key,
                                     const forwarding_target& target) {
@@ -368,7 +259,6 @@
       0)
     add_event(now, forwarding_event_kind::target_recovered, key, target.token);
   placement_.on_answer(now, target);
-  stalls_.on_progress(now, target);
 }
 
 bool forwarding_core::is_logged(const flow_key& key) const {
@@ -381,9 +271,7 @@
   const flow_key key = key_of(s);
   const bool opening = decision.action == forwarding_action::forward &&
                        decision.reason != forwarding_reason::continued;
-  if (decision.action == forwarding_action::reset && !s.flags.opens) {
-    add_event(now, forwarding_event_kind::flow_reset, key, s.token, &decision);
-  } else if (decision.action == forwarding_action::reset) {
+  if (decision.action == forwarding_action::reset) {
     add_event(now, forwarding_event_kind::refused, key, 0, &decision);
   } else if (decision.action == forwarding_action::drop) {
     add_event(now, forwarding_event_kind::dropped, key, s.token, &decision);
@@ -452,11 +340,8 @@
     return;
   flow->counted_unanswered = true;
   ++counters_.unanswered;
-  if (const auto* target = table_->target_of(flow->token)) {
+  if (const auto* target = table_->target_of(flow->token))
     placement_.on_unanswered(now, *target, flow->opened);
-    stalls_.on_stall(now, *target, stall_kind::opening, caller_id(key.caller),
-                     flow->opened);
-  }
   counters_.suspicions += placement_.failures(flow->token) == 1 ? 1 : 0;
   add_event(now, forwarding_event_kind::opening_unanswered, key, flow->token);
 }
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -171,13 +171,8 @@
                 m.age,
                 m.remaining,
                 m.failures)
-TURMERIC_FIELDS(stall_report, m.token, m.kind, m.age, m.caller)
-TURMERIC_FIELDS(peer_reports,
-                m.address,
-                m.incarnation,
-                m.sequence,
-                m.reports,
-                m.stalls)
+// An earlier version sends a fifth field, which must not get another meaning.
+TURMERIC_FIELDS(peer_reports, m.address, m.incarnation, m.sequence, m.reports)
 TURMERIC_FIELDS(peer_fragment, m.message, m.index, m.count, m.bytes)
 TURMERIC_FIELDS(peer_directory_delta,
                 m.to_incarnation,
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -90,7 +90,6 @@
   /** Increases with each message; a stale one is dropped. */
   uint64_t sequence = 0;
   std::vector<target_report> reports;
-  std::vector<stall_report> stalls;
 };
 
 /** Fragment of an encoded message that is too large for one datagram. */
--- a/packages/state/include/turmeric/state/target_report_type.h
+++ b/packages/state/include/turmeric/state/target_report_type.h
@@ -3,7 +3,6 @@
 #define TURMERIC_STATE_TARGET_REPORT_TYPE_H_
 
 #include <cstdint>
-#include <vector>
 
 #include "turmeric/state/segment_type.h"
 
@@ -32,41 +31,6 @@
   uint32_t failures = 0;
 };
 
-/** What a balancer saw of a target's flows. */
-enum class stall_kind : uint8_t {
-  opening,   ///< An opening was left unanswered.
-  request,   ///< A caller repeated a request: nothing was acknowledged since.
-  progress,  ///< A flow moved on, so the target was alive and reachable.
-  end
-};
-
-/** One such observation. Stalls of several callers and balancers show together
- * that a target is lost; one progress disproves all stalls before it. */
-struct stall_report {
-  flow_token token = 0;
-  stall_kind kind = stall_kind::progress;
-  /** Time since the opening or request was first sent to the target, or since
-   * the progress. */
-  time_us age = 0;
-  /** Hash of the caller's IP address; 0 for progress. */
-  uint32_t caller = 0;
-};
-
-/** Observations of a balancer's traffic thread for its peers. */
-struct target_observations {
-  std::vector<target_report> reports;
-  std::vector<stall_report> stalls;
-
-  bool empty() const { return reports.empty() && stalls.empty(); }
-};
-
-/** Observations of peers for the traffic thread. */
-struct reported_targets {
-  std::vector<target_report> reports;
-  uint64_t reporter = 0;  ///< Hashed name of the peer that sent `stalls`.
-  std::vector<stall_report> stalls;
-};
-
 }  // namespace turmeric
 
 #endif  // TURMERIC_STATE_TARGET_REPORT_TYPE_H_
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -89,15 +89,12 @@
 
   /** Sets a handler for reports to send to peers, called on the traffic thread.
    * @pre Not started. */
-  void on_reports(std::function<void(target_observations)> hook) {
+  void on_reports(std::function<void(std::vector<target_report>)> hook) {
     on_reports_ = std::move(hook);
   }
 
-  /** Queues reports from a peer; they take effect with the next batch. */
-  void on_peer_reports(reported_targets reported);
-
-  /** Queues a heartbeat from a balancer of another zone. */
-  void on_zone_heartbeat(const std::string& zone);
+  /** Queues reports from peers; they take effect with the next batch. */
+  void on_peer_reports(const std::vector<target_report>& reports);
 
   /** Replaces the published state; takes effect with the next batch. */
   void publish(update next);
@@ -132,16 +129,14 @@
   std::mutex core_mutex_;  ///< Held for a batch, or to copy the state.
   forwarding_core core_;
   std::vector<log_limiter> event_limiters_;  ///< By kind of event.
-  std::mutex update_mutex_;                  ///< Guards the next four members.
+  std::mutex update_mutex_;                  ///< Guards the next three members.
   std::optional<update> update_;
-  std::vector<reported_targets> pending_reports_;  ///< Not yet applied.
-  /** When the last heartbeat from a zone arrived; not yet applied. */
-  std::map<std::string, time_us> pending_heartbeats_;
+  std::vector<target_report> pending_reports_;  ///< Not yet applied.
   bool table_published_ = false;
   /** Table in use; actions of a batch point into it. */
   std::shared_ptr<const forwarding_table> table_;
   std::function<void()> on_pause_;
-  std::function<void(target_observations)> on_reports_;
+  std::function<void(std::vector<target_report>)> on_reports_;
   std::atomic<time_us> last_segment_{0};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
--- a/packages/transport/src/forwarding/directory_actor.cpp
+++ b/packages/transport/src/forwarding/directory_actor.cpp
@@ -16,7 +16,7 @@
 
 /** Message to the actor: observations of targets by the traffic thread. */
 struct report_update {
-  target_observations seen;
+  std::vector<target_report> reports;
 };
 
 }  // namespace turmeric
@@ -84,7 +84,8 @@
           core.set_seeds(boot_now(), update.seeds);
         },
         [this, self](const report_update& update) {
-          execute_actions(self, core.on_local_reports(boot_now(), update.seen));
+          execute_actions(self,
+                          core.on_local_reports(boot_now(), update.reports));
         },
         [this, self](pause_atom) {
           execute_actions(self, core.on_pause(boot_now()));
@@ -136,8 +137,8 @@
   caf::anon_send(impl_->actor, seed_update{std::move(seeds)});
 }
 
-void directory_actor::deliver(target_observations seen) {
-  caf::anon_send(impl_->actor, report_update{std::move(seen)});
+void directory_actor::deliver(std::vector<target_report> reports) {
+  caf::anon_send(impl_->actor, report_update{std::move(reports)});
 }
 
 void directory_actor::on_pause() {
--- a/packages/transport/src/forwarding/directory_actor_internal.h
+++ b/packages/transport/src/forwarding/directory_actor_internal.h
@@ -34,7 +34,7 @@
   void set_seeds(std::vector<endpoint> seeds);
 
   /** Takes observations of targets by the traffic thread. */
-  void deliver(target_observations seen);
+  void deliver(std::vector<target_report> reports);
 
   /** Called after a pause of this process was detected. */
   void on_pause();
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -68,8 +68,7 @@
   void execute_one(const send_peer_message& message);
   void execute_one(publish_table& publication);
   void execute_one(const directory_log_line& line);
-  void execute_one(reported_targets& reported);
-  void execute_one(const zone_heartbeat& heartbeat);
+  void execute_one(const reported_targets& update);
   http_response on_probe_get(const std::string& path);
   http_response on_metrics_get(const std::string& path);
   forwarder_status status() const;
@@ -151,8 +150,8 @@
         directory_->on_pause();
     });
   });
-  segments_.on_reports([this](target_observations seen) {
-    asio_ns::post(loop_, [this, r = std::move(seen)]() mutable {
+  segments_.on_reports([this](std::vector<target_report> reports) {
+    asio_ns::post(loop_, [this, r = std::move(reports)]() mutable {
       if (directory_ != nullptr)
         directory_->deliver(std::move(r));
     });
@@ -307,12 +306,8 @@
   log(log_category::control, log_level::info, line.message, line.fields);
 }
 
-void forwarder::execute_one(reported_targets& reported) {
-  segments_.on_peer_reports(std::move(reported));
-}
-
-void forwarder::execute_one(const zone_heartbeat& heartbeat) {
-  segments_.on_zone_heartbeat(heartbeat.zone);
+void forwarder::execute_one(const reported_targets& update) {
+  segments_.on_peer_reports(update.reports);
 }
 
 http_response forwarder::on_probe_get(const std::string& path) {
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -34,7 +34,7 @@
  * fewest, since anybody can cause them; refusals and events of targets are
  * needed to explain failures. */
 constexpr std::array<int, static_cast<size_t>(forwarding_event_kind::end)>
-    log_lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20, 20, 20, 20};
+    log_lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20};
 /** The process counts as paused if poll() returns this much after its timeout.
  * Routers probe twice a second and move flows after two failed probes, so a
  * shorter pause moves no flows. */
@@ -51,34 +51,6 @@
                std::string(what) + ": " + std::strerror(errno), "", 0};
 }
 
-std::string age_text(time_us age) {
-  return age == INT64_MAX ? "none" : std::to_string(age / us_per_ms);
-}
-
-/** Adds the evidence of a loss. A stall is written as the reporter's hashed
- * name (0: this balancer), its kind, the caller's hash and its age in ms. */
-void add_evidence(const forwarding_event& event,
-                  std::vector<log_field>* fields) {
-  const stall_tally& tally = event.evidence.tally;
-  fields->emplace_back("callers", std::to_string(tally.callers));
-  fields->emplace_back("reporters", std::to_string(tally.reporters));
-  fields->emplace_back("openings", std::to_string(tally.openings));
-  fields->emplace_back("targets", std::to_string(tally.targets));
-  fields->emplace_back("evidence_ms",
-                       std::to_string(event.evidence_age / us_per_ms));
-  fields->emplace_back("progress_ms", age_text(event.evidence.progress_age));
-  fields->emplace_back("peers_progress_ms",
-                       age_text(event.evidence.peer_progress_age));
-  std::string stalls;
-  for (const counted_stall& s : event.evidence.stalls) {
-    stalls += fmt::format("{}{:x}:{}:{:08x}:{}", stalls.empty() ? "" : " ",
-                          s.reporter,
-                          s.kind == stall_kind::opening ? "opening" : "request",
-                          s.caller, s.age / us_per_ms);
-  }
-  fields->emplace_back("stalls", stalls);
-}
-
 }  // namespace
 
 /** Buffers of one round of receiving and sending. */
@@ -172,30 +144,24 @@
   }
 }
 
-void segment_runner::on_peer_reports(reported_targets reported) {
+void segment_runner::on_peer_reports(
+    const std::vector<target_report>& reports) {
   const std::lock_guard<std::mutex> lock(update_mutex_);
   // The bound is only reached while the traffic thread is not scheduled, and
   // the reports that wait are stale by the time it runs again.
   if (pending_reports_.size() > max_pending_reports)
     pending_reports_.clear();
-  pending_reports_.push_back(std::move(reported));
-}
-
-void segment_runner::on_zone_heartbeat(const std::string& zone) {
-  const time_us now = boot_now();
-  const std::lock_guard<std::mutex> lock(update_mutex_);
-  pending_heartbeats_[zone] = now;
+  pending_reports_.insert(pending_reports_.end(), reports.begin(),
+                          reports.end());
 }
 
 void segment_runner::apply_update() {
   std::optional<update> next;
-  std::vector<reported_targets> reports;
-  std::map<std::string, time_us> heartbeats;
+  std::vector<target_report> reports;
   {
     const std::lock_guard<std::mutex> lock(update_mutex_);
     next = std::exchange(update_, std::nullopt);
     reports = std::exchange(pending_reports_, {});
-    heartbeats = std::exchange(pending_heartbeats_, {});
   }
   if (next.has_value()) {
     table_ = next->table;
@@ -205,13 +171,7 @@
     core_.set_silent_zones(std::move(next->silent_zones));
     core_.set_registry_lost(next->registry_lost);
   }
-  for (const auto& [zone, received] : heartbeats)
-    core_.on_zone_heartbeat(received, zone);
-  const time_us now = boot_now();
-  for (const auto& reported : reports) {
-    core_.on_peer_reports(now, reported.reports);
-    core_.on_peer_stalls(now, reported.reporter, reported.stalls);
-  }
+  core_.on_peer_reports(boot_now(), reports);
 }
 
 void segment_runner::await_first_table() {
@@ -336,17 +296,6 @@
     fields.emplace_back("reported", std::to_string(event.reported));
     fields.emplace_back("in_hand", std::to_string(event.active_flows));
   }
-  if (event.kind == forwarding_event_kind::loss_found) {
-    add_evidence(event, &fields);
-  } else if (event.kind == forwarding_event_kind::stall_disproved) {
-    fields.emplace_back("reporter",
-                        fmt::format("{:016x}", event.disproof.reporter));
-    fields.emplace_back("stall_ms",
-                        std::to_string(event.disproof.stall_age / us_per_ms));
-    fields.emplace_back(
-        "progress_ms", std::to_string(event.disproof.progress_age / us_per_ms));
-    fields.emplace_back("told", event.disproof.told ? "true" : "false");
-  }
   if (event.candidates != 0) {
     fields.emplace_back("candidates", std::to_string(event.candidates));
     fields.emplace_back("cost", fmt::format("{:.2f}", event.cost));
--- a/tests/emulator/emu_streams.cpp
+++ b/tests/emulator/emu_streams.cpp
@@ -52,6 +52,7 @@
   f.request = r.number;
   f.answered = false;
   f.request_sequence += request_bytes;
+  f.request_copies = 0;
   send_request(f.number, f.request_sequence, first_retransmit);
 }
 
