--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -176,8 +176,11 @@
   }
 
   /** Decides on a caller's segment. The decision's target lives as long as the
-   * table in use. */
-  forwarding_decision on_segment(time_us now, const segment& s);
+   * table in use.
+   * @param waited Time from the arrival of the segment until @p now. */
+  forwarding_decision on_segment(time_us now,
+                                 const segment& s,
+                                 time_us waited = 0);
 
   void count_malformed() { ++counters_.malformed; }
 
@@ -212,10 +215,11 @@
     flow_key key;
   };
 
-  forwarding_decision decide(time_us now, const segment& s);
-  forwarding_decision on_opening(time_us now, const segment& s);
+  forwarding_decision decide(time_us now, const segment& s, time_us waited);
+  forwarding_decision on_opening(time_us now, const segment& s, time_us waited);
   forwarding_decision on_retransmitted(time_us now,
                                        const segment& s,
+                                       time_us waited,
                                        flow_state* flow);
   forwarding_decision open_flow(time_us now,
                                 const segment& s,
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -92,14 +92,18 @@
   }
 }
 
-forwarding_decision forwarding_core::on_segment(time_us now, const segment& s) {
-  forwarding_decision decision = decide(now, s);
+forwarding_decision forwarding_core::on_segment(time_us now,
+                                                const segment& s,
+                                                time_us waited) {
+  forwarding_decision decision = decide(now, s, waited);
   ++counters_.reasons[static_cast<size_t>(decision.reason)];
   log_decision(now, s, decision);
   return decision;
 }
 
-forwarding_decision forwarding_core::decide(time_us now, const segment& s) {
+forwarding_decision forwarding_core::decide(time_us now,
+                                            const segment& s,
+                                            time_us waited) {
   if (table_ == nullptr)
     return {forwarding_action::drop, forwarding_reason::no_table, nullptr, {}};
   if (s.flags.opens && (s.flags.acknowledges || s.flags.resets))
@@ -108,7 +112,7 @@
   if (s.flags.opens && now < drop_openings_until_)
     return {forwarding_action::drop, forwarding_reason::paused, nullptr, {}};
   if (s.flags.opens)
-    return on_opening(now, s);
+    return on_opening(now, s, waited);
   const forwarding_target* target = table_->target_of(s.token);
   if (target == nullptr) {
     return {
@@ -118,12 +122,14 @@
   return {forwarding_action::forward, forwarding_reason::continued, target, {}};
 }
 
-forwarding_decision forwarding_core::on_opening(time_us now, const segment& s) {
+forwarding_decision forwarding_core::on_opening(time_us now,
+                                                const segment& s,
+                                                time_us waited) {
   const auto it = flows_.find(key_of(s));
   if (it != flows_.end()) {
     if (!it->second.ended &&
         now - it->second.opened < options_.opening_lifetime)
-      return on_retransmitted(now, s, &it->second);
+      return on_retransmitted(now, s, waited, &it->second);
     end_flow(now, key_of(s));
   }
   const route_entry* route = table_->route_at(s.destination);
@@ -134,13 +140,15 @@
 
 forwarding_decision forwarding_core::on_retransmitted(time_us now,
                                                       const segment& s,
+                                                      time_us waited,
                                                       flow_state* flow) {
   const forwarding_target* first_target = table_->target_of(flow->token);
   if (first_target == nullptr) {
     return {
         forwarding_action::drop, forwarding_reason::unknown_token, nullptr, {}};
   }
-  if (flow->answered || now - flow->opened < options_.min_retransmit_time)
+  const time_us arrived = now - waited;
+  if (flow->answered || arrived - flow->opened < options_.min_retransmit_time)
     return {forwarding_action::forward,
             forwarding_reason::repeated,
             first_target,
--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -92,16 +92,20 @@
     return;
   clock_.after(options_.shape.caller_latency, [this, b, n = f.number, s] {
     if (b->running)
-      run_on_balancer(b, [this, b, n, s] { receive_at_balancer(b, n, s); });
+      run_on_balancer(b, [this, b, n, s, arrived = clock_.now()] {
+        receive_at_balancer(b, n, arrived, s);
+      });
   });
 }
 
 void emu_world::receive_at_balancer(balancer* b,
                                     uint64_t flow_number,
+                                    time_us arrived,
                                     segment s) {
   if (b->lossy_links != 0 && chance(link_loss_share))
     return;
-  forwarding_decision decision = b->forwarding->on_segment(clock_.now(), s);
+  forwarding_decision decision =
+      b->forwarding->on_segment(clock_.now(), s, clock_.now() - arrived);
   schedule_forwarding_tick(b);
   forward_reports(b);
   const auto sender = flows_.find(flow_number);
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -164,7 +164,7 @@
     return;
   if (b->frozen)
     b->backlog.push_back(std::move(event));
-  else if (b->slowdowns != 0)
+  else if (b->slowdowns != 0 || clock_.now() <= b->busy_until)
     run_on_slow_balancer(b, std::move(event));
   else
     event();
@@ -172,9 +172,11 @@
 
 void emu_world::run_on_slow_balancer(balancer* b, sim_clock::event event) {
   const time_us now = clock_.now();
-  b->busy_until =
-      std::max(now, b->busy_until) +
-      static_cast<time_us>(random() % static_cast<uint64_t>(max_slow_event));
+  b->busy_until = std::max(now, b->busy_until);
+  // After the slowdown, events still run in their order.
+  if (b->slowdowns != 0)
+    b->busy_until += 1 + static_cast<time_us>(
+                             random() % static_cast<uint64_t>(max_slow_event));
   if (b->busy_until - now > max_slow_backlog)
     return;
   clock_.after(b->busy_until - now,
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -141,7 +141,10 @@
   void start_attempt(uint64_t request_number);
   void send_opening(uint64_t flow_number, uint32_t copy);
   void send_segment(const flow& f, segment s);
-  void receive_at_balancer(balancer* b, uint64_t flow_number, segment s);
+  void receive_at_balancer(balancer* b,
+                           uint64_t flow_number,
+                           time_us arrived,
+                           segment s);
   void log_followed_report(const balancer& b, const target_report& report);
   void log_followed_placement(const balancer& b,
                               const forwarding_decision& decision);
--- a/tests/unit/open_flow_test.cpp
+++ b/tests/unit/open_flow_test.cpp
@@ -92,6 +92,37 @@
   }
 }
 
+struct copy_row {
+  const char* name;
+  time_us handled_ms;  ///< When the copy is handled, after the first opening.
+  time_us waited_ms;   ///< Of that, the time since it arrived.
+  bool same_target;
+};
+
+// Two targets that answer one opening break the flow that one of them holds.
+BOOST_AUTO_TEST_CASE(openings_that_waited_here_go_to_no_second_target) {
+  const copy_row rows[] = {
+      {"arrived after the target could have answered", 200, 0, false},
+      {"arrived before the first one was forwarded", 200, 210, true},
+      {"arrived soon after it", 300, 200, true},
+      {"waited, but arrived late enough", 300, 50, false},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      forwarding_fixture balancer(two_zones());
+      const auto first = balancer.open_flow(1);
+      balancer.wait(row.handled_ms * us_per_ms);
+      segment copy = balancer.segment_from(1);
+      copy.flags.opens = true;
+      copy.acknowledged = 1;
+      const auto second = balancer.core.on_segment(balancer.now, copy,
+                                                   row.waited_ms * us_per_ms);
+      BOOST_TEST((second.target->token == first.target->token) ==
+                 row.same_target);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
