--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -28,6 +28,12 @@
    * forwarded goes to the same target. Callers retransmit after 200 ms, so the
    * copies were delayed on the way and the target had no time to answer. */
   time_us min_retransmit_time = 150 * us_per_ms;
+  /** An opening that has waited longer in this process is dropped: its caller
+   * sends the next copy, which another balancer may get, or gives up. By the
+   * number of copies sent before; callers send them after 200 and 600 ms and
+   * give up after 1.4 s. */
+  std::array<time_us, 3> max_opening_waits = {150 * us_per_ms, 350 * us_per_ms,
+                                              750 * us_per_ms};
   /** Copies of an opening are recognized for this long; the caller has given up
    * by then. */
   time_us opening_lifetime = 1500 * us_per_ms;
@@ -66,6 +72,7 @@
   unknown_token,  ///< The token names no target.
   not_a_caller,   ///< A segment that only targets send.
   paused,         ///< Dropped after a pause of the process; see on_pause().
+  superseded,     ///< An opening whose next copy has been sent.
   end
 };
 
@@ -216,6 +223,7 @@
   };
 
   forwarding_decision decide(time_us now, const segment& s, time_us waited);
+  bool is_superseded(const segment& opening, time_us waited) const;
   forwarding_decision on_opening(time_us now, const segment& s, time_us waited);
   forwarding_decision on_retransmitted(time_us now,
                                        const segment& s,
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -12,7 +12,7 @@
                      static_cast<size_t>(forwarding_reason::end)>
     reason_names = {"opened",       "repeated", "moved",     "continued",
                     "no_table",     "no_route", "no_target", "unknown_token",
-                    "not_a_caller", "paused"};
+                    "not_a_caller", "paused",   "superseded"};
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_event_kind::end)>
@@ -111,6 +111,10 @@
         forwarding_action::drop, forwarding_reason::not_a_caller, nullptr, {}};
   if (s.flags.opens && now < drop_openings_until_)
     return {forwarding_action::drop, forwarding_reason::paused, nullptr, {}};
+  if (s.flags.opens && is_superseded(s, waited)) {
+    return {
+        forwarding_action::drop, forwarding_reason::superseded, nullptr, {}};
+  }
   if (s.flags.opens)
     return on_opening(now, s, waited);
   const forwarding_target* target = table_->target_of(s.token);
@@ -122,6 +126,14 @@
   return {forwarding_action::forward, forwarding_reason::continued, target, {}};
 }
 
+bool forwarding_core::is_superseded(const segment& opening,
+                                    time_us waited) const {
+  // The acknowledged number of an opening counts the copies before.
+  const size_t copy = std::min<size_t>(opening.acknowledged,
+                                       options_.max_opening_waits.size() - 1);
+  return waited >= options_.max_opening_waits[copy];
+}
+
 forwarding_decision forwarding_core::on_opening(time_us now,
                                                 const segment& s,
                                                 time_us waited) {
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -121,7 +121,8 @@
   void apply_update();
   void wake();
   void handle_batch(time_us now, batch* b, int count);
-  void handle_segment(time_us now, batch* b, int index);
+  /** @param waited Time since the datagram arrived. */
+  void handle_segment(time_us now, time_us waited, batch* b, int index);
 
   endpoint local_;
   file_descriptor socket_;
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -59,7 +59,13 @@
   using buffer =
       std::array<uint8_t, platform::target_prefix_bytes + packet_buffer_bytes>;
 
+  /** Space for the kernel's time of arrival of a datagram. */
+  struct alignas(cmsghdr) control {
+    std::array<uint8_t, CMSG_SPACE(sizeof(timespec))> bytes;
+  };
+
   std::array<buffer, batch_size> buffers;
+  std::array<control, batch_size> controls;
   std::array<std::array<uint8_t, platform::header_bytes>, batch_size> resets;
   std::array<iovec, batch_size> in_parts{};
   std::array<mmsghdr, batch_size> in{};
@@ -74,6 +80,7 @@
                      packet_buffer_bytes};
       in[i].msg_hdr.msg_iov = &in_parts[i];
       in[i].msg_hdr.msg_iovlen = 1;
+      in[i].msg_hdr.msg_control = controls[i].bytes.data();
       out[i].msg_hdr.msg_iov = &out_parts[i];
       out[i].msg_hdr.msg_iovlen = 1;
       out[i].msg_hdr.msg_name = &out_addresses[i];
@@ -81,6 +88,29 @@
     }
   }
 
+  /** @return The number of datagrams received, or -1 with errno set. */
+  int receive(int socket) {
+    for (auto& message : in)
+      message.msg_hdr.msg_controllen = sizeof(control::bytes);
+    return recvmmsg(socket, in.data(), batch_size, 0, nullptr);
+  }
+
+  /** @param wall Time of day now.
+   * @return Time since the datagram at @p index arrived; 0 if unknown. */
+  time_us waited(int index, time_us wall) {
+    msghdr& header = in[index].msg_hdr;
+    const cmsghdr* stamp = CMSG_FIRSTHDR(&header);
+    if (stamp == nullptr || stamp->cmsg_level != SOL_SOCKET ||
+        stamp->cmsg_type != SCM_TIMESTAMPNS)
+      return 0;
+    timespec arrived{};
+    std::memcpy(&arrived, CMSG_DATA(stamp), sizeof(arrived));
+    constexpr time_us ns_per_us = 1000;
+    // The time of day may have been set back since.
+    return std::max<time_us>(
+        wall - arrived.tv_sec * us_per_s - arrived.tv_nsec / ns_per_us, 0);
+  }
+
   void add(endpoint to, void* data, size_t size) {
     out_parts[out_count] = {data, size};
     out_addresses[out_count] = to_sockaddr(to);
@@ -122,6 +152,9 @@
   // The system may grant a smaller buffer; bursts then lose more packets.
   setsockopt(socket_.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
              sizeof(receive_buffer_bytes));
+  // Without times of arrival, no datagram counts as having waited.
+  const int on = 1;
+  setsockopt(socket_.get(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof(on));
   const sockaddr_in address = to_sockaddr(local_);
   if (bind(socket_.get(), reinterpret_cast<const sockaddr*>(&address),
            sizeof(address)) != 0)
@@ -248,8 +281,7 @@
     const int wait = poll_timeout_ms();
     const time_us wait_started = boot_now();
     poll(poll_fds.data(), poll_fds.size(), wait);
-    const int count =
-        recvmmsg(socket_.get(), b->in.data(), batch_size, 0, nullptr);
+    const int count = b->receive(socket_.get());
     const time_us now = boot_now();
     const std::lock_guard<std::mutex> lock(core_mutex_);
     apply_update();
@@ -315,12 +347,16 @@
 
 void segment_runner::handle_batch(time_us now, batch* b, int count) {
   last_segment_ = now;
+  const time_us wall = wall_now();
   for (int i = 0; i < count; ++i)
-    handle_segment(now, b, i);
+    handle_segment(now, b->waited(i, wall), b, i);
   b->flush(socket_.get());
 }
 
-void segment_runner::handle_segment(time_us now, batch* b, int index) {
+void segment_runner::handle_segment(time_us now,
+                                    time_us waited,
+                                    batch* b,
+                                    int index) {
   uint8_t* data = b->buffers[index].data() + platform::target_prefix_bytes;
   const size_t size = b->in[index].msg_len;
   const auto s = platform::read_segment(data, size);
@@ -328,7 +364,7 @@
     core_.count_malformed();
     return;
   }
-  const forwarding_decision decision = core_.on_segment(now, *s);
+  const forwarding_decision decision = core_.on_segment(now, *s, waited);
   if (decision.action == forwarding_action::forward) {
     platform::write_token(data, decision.target->token);
     platform::write_target_prefix(b->buffers[index].data(),
--- a/tests/unit/open_flow_test.cpp
+++ b/tests/unit/open_flow_test.cpp
@@ -123,6 +123,35 @@
   }
 }
 
+struct late_row {
+  uint32_t copy;  ///< Copies sent before.
+  time_us waited_ms;
+  forwarding_action expected;
+};
+
+// Another balancer may have got the next copy, and its target the flow.
+BOOST_AUTO_TEST_CASE(openings_whose_next_copy_was_sent_are_dropped) {
+  constexpr auto forward = forwarding_action::forward;
+  constexpr auto drop = forwarding_action::drop;
+  const late_row rows[] = {{0, 0, forward},   {0, 149, forward}, {0, 150, drop},
+                           {1, 150, forward}, {1, 349, forward}, {1, 350, drop},
+                           {2, 350, forward}, {2, 749, forward}, {2, 750, drop},
+                           {7, 749, forward}, {7, 750, drop}};
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.copy << " after " << row.waited_ms << " ms") {
+      forwarding_fixture balancer(two_zones());
+      segment opening = balancer.segment_from(1);
+      opening.flags.opens = true;
+      opening.acknowledged = row.copy;
+      const auto decision = balancer.core.on_segment(balancer.now, opening,
+                                                     row.waited_ms * us_per_ms);
+      BOOST_TEST((decision.action == row.expected));
+      if (row.expected == drop)
+        BOOST_TEST((decision.reason == forwarding_reason::superseded));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
--- /dev/null
+++ b/tests/unit/segment_runner_test.cpp
@@ -0,0 +1,87 @@
+/** @file segment_runner_test.cpp The traffic thread on a real socket. */
+#include "turmeric/transport/segment_runner_base.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <thread>
+
+#include "forwarding_fixture.h"
+#include "turmeric/platform/segment_func.h"
+#include "turmeric/transport/clock_func.h"
+#include "turmeric/transport/file_descriptor_base.h"
+#include "turmeric/transport/socket_address_func.h"
+
+namespace turmeric {
+namespace {
+
+constexpr uint32_t loopback = 0x7f000001;
+constexpr uint8_t opens_flag = 128;
+constexpr size_t flags_offset = 4;
+/** Longest time until the traffic thread has handled a datagram. */
+constexpr auto handling_time = std::chrono::seconds(5);
+
+/** @return A UDP port that no other socket uses now. */
+uint16_t free_port() {
+  const file_descriptor probe(socket(AF_INET, SOCK_DGRAM, 0));
+  sockaddr_in address = to_sockaddr({loopback, 0});
+  socklen_t size = sizeof(address);
+  BOOST_REQUIRE(bind(probe.get(), reinterpret_cast<const sockaddr*>(&address),
+                     size) == 0);
+  BOOST_REQUIRE(getsockname(probe.get(), reinterpret_cast<sockaddr*>(&address),
+                            &size) == 0);
+  return ntohs(address.sin_port);
+}
+
+void send_opening(endpoint to) {
+  std::array<uint8_t, platform::header_bytes> packet{};
+  packet[flags_offset] = opens_flag;
+  const file_descriptor from(socket(AF_INET, SOCK_DGRAM, 0));
+  const sockaddr_in address = to_sockaddr(to);
+  BOOST_REQUIRE(sendto(from.get(), packet.data(), packet.size(), 0,
+                       reinterpret_cast<const sockaddr*>(&address),
+                       sizeof(address)) == static_cast<ssize_t>(packet.size()));
+}
+
+uint64_t decisions(segment_runner* runner, forwarding_reason reason) {
+  return runner->snapshot(false).counters.reasons[static_cast<size_t>(reason)];
+}
+
+struct wait_row {
+  std::chrono::milliseconds until_table;
+  forwarding_reason expected;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(segment_runner_suite)
+
+// Packets wait in the socket until the first table is published.
+BOOST_AUTO_TEST_CASE(openings_that_waited_in_the_socket_are_dropped) {
+  const wait_row rows[] = {
+      {std::chrono::milliseconds(0), forwarding_reason::no_route},
+      {std::chrono::milliseconds(250), forwarding_reason::superseded},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.until_table.count() << " ms") {
+      const endpoint local{loopback, free_port()};
+      segment_runner runner(local, forwarding_fixture::options(),
+                            system_random());
+      BOOST_REQUIRE(runner.start().has_value());
+      send_opening(local);
+      std::this_thread::sleep_for(row.until_table);
+      runner.publish({table_builder().table(), 1, {}, {}, {}, false});
+      const auto deadline = std::chrono::steady_clock::now() + handling_time;
+      while (decisions(&runner, row.expected) == 0 &&
+             std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      BOOST_TEST(decisions(&runner, row.expected) == 1u);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace turmeric
