--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -184,7 +184,8 @@
 
   /** Decides on a caller's segment. The decision's target lives as long as the
    * table in use.
-   * @param waited Time from the arrival of the segment until @p now. */
+   * @param waited Longest time for which the segment may have waited in this
+   * process. */
   forwarding_decision on_segment(time_us now,
                                  const segment& s,
                                  time_us waited = 0);
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -114,14 +114,16 @@
   target_snapshot snapshot_of(time_us now,
                               const forwarding_target& target) const;
   void run();
-  void await_first_table();
+  /** @return Boot time since which packets may wait in the socket. */
+  time_us await_first_table();
   int poll_timeout_ms();
   void log_events(time_us now);
   void log_event(const forwarding_event& event, uint64_t suppressed) const;
   void apply_update();
   void wake();
-  void handle_batch(time_us now, batch* b, int count);
-  /** @param waited Time since the datagram arrived. */
+  /** @param since_empty Time since the socket was found empty. */
+  void handle_batch(time_us now, time_us since_empty, batch* b, int count);
+  /** @param waited Longest time for which the segment may have waited. */
   void handle_segment(time_us now, time_us waited, batch* b, int index);
 
   endpoint local_;
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -39,8 +39,11 @@
  * Routers probe twice a second and move flows after two failed probes, so a
  * shorter pause moves no flows. */
 constexpr time_us min_pause = 500 * us_per_ms;
-/** Maximum poll timeout. */
-constexpr time_us max_wait = 10 * us_per_s;
+/** Maximum poll timeout, below `min_delay`. */
+constexpr time_us max_wait = 100 * us_per_ms;
+/** Segments count as having waited if the thread found the socket empty longer
+ * ago than this. */
+constexpr time_us min_delay = 150 * us_per_ms;
 /** Longest wait for the first forwarding table after the first packet. Packets
  * are queued in the socket meanwhile; after a longer wait, their callers have
  * retransmitted them. */
@@ -59,13 +62,7 @@
   using buffer =
       std::array<uint8_t, platform::target_prefix_bytes + packet_buffer_bytes>;
 
-  /** Space for the kernel's time of arrival of a datagram. */
-  struct alignas(cmsghdr) control {
-    std::array<uint8_t, CMSG_SPACE(sizeof(timespec))> bytes;
-  };
-
   std::array<buffer, batch_size> buffers;
-  std::array<control, batch_size> controls;
   std::array<std::array<uint8_t, platform::header_bytes>, batch_size> resets;
   std::array<iovec, batch_size> in_parts{};
   std::array<mmsghdr, batch_size> in{};
@@ -80,7 +77,6 @@
                      packet_buffer_bytes};
       in[i].msg_hdr.msg_iov = &in_parts[i];
       in[i].msg_hdr.msg_iovlen = 1;
-      in[i].msg_hdr.msg_control = controls[i].bytes.data();
       out[i].msg_hdr.msg_iov = &out_parts[i];
       out[i].msg_hdr.msg_iovlen = 1;
       out[i].msg_hdr.msg_name = &out_addresses[i];
@@ -88,29 +84,6 @@
     }
   }
 
-  /** @return The number of datagrams received, or -1 with errno set. */
-  int receive(int socket) {
-    for (auto& message : in)
-      message.msg_hdr.msg_controllen = sizeof(control::bytes);
-    return recvmmsg(socket, in.data(), batch_size, 0, nullptr);
-  }
-
-  /** @param wall Time of day now.
-   * @return Time since the datagram at @p index arrived; 0 if unknown. */
-  time_us waited(int index, time_us wall) {
-    msghdr& header = in[index].msg_hdr;
-    const cmsghdr* stamp = CMSG_FIRSTHDR(&header);
-    if (stamp == nullptr || stamp->cmsg_level != SOL_SOCKET ||
-        stamp->cmsg_type != SCM_TIMESTAMPNS)
-      return 0;
-    timespec arrived{};
-    std::memcpy(&arrived, CMSG_DATA(stamp), sizeof(arrived));
-    constexpr time_us ns_per_us = 1000;
-    // The time of day may have been set back since.
-    return std::max<time_us>(
-        wall - arrived.tv_sec * us_per_s - arrived.tv_nsec / ns_per_us, 0);
-  }
-
   void add(endpoint to, void* data, size_t size) {
     out_parts[out_count] = {data, size};
     out_addresses[out_count] = to_sockaddr(to);
@@ -152,9 +125,6 @@
   // The system may grant a smaller buffer; bursts then lose more packets.
   setsockopt(socket_.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
              sizeof(receive_buffer_bytes));
-  // Without times of arrival, no datagram counts as having waited.
-  const int on = 1;
-  setsockopt(socket_.get(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof(on));
   const sockaddr_in address = to_sockaddr(local_);
   if (bind(socket_.get(), reinterpret_cast<const sockaddr*>(&address),
            sizeof(address)) != 0)
@@ -207,11 +177,12 @@
   core_.on_peer_reports(boot_now(), reports);
 }
 
-void segment_runner::await_first_table() {
+time_us segment_runner::await_first_table() {
   pollfd packet{socket_.get(), POLLIN, 0};
   pollfd woken{wake_.get(), POLLIN, 0};
   std::array<pollfd, 2> both = {packet, woken};
   poll(both.data(), both.size(), -1);
+  const time_us first_packet = boot_now();
   if (both[1].revents == 0)
     poll(&woken, 1, first_table_wait_ms);
   uint64_t count = 0;
@@ -220,6 +191,7 @@
         "cannot read the eventfd of the traffic thread",
         {{"reason", std::strerror(errno)}});
   }
+  return first_packet;
 }
 
 traffic_snapshot segment_runner::snapshot(bool with_flows) {
@@ -276,12 +248,13 @@
   const auto b = std::make_unique<batch>();
   std::array<pollfd, 2> poll_fds = {pollfd{socket_.get(), POLLIN, 0},
                                     pollfd{wake_.get(), POLLIN, 0}};
-  await_first_table();
+  time_us empty_since = await_first_table();
   while (!stopping_) {
     const int wait = poll_timeout_ms();
     const time_us wait_started = boot_now();
     poll(poll_fds.data(), poll_fds.size(), wait);
-    const int count = b->receive(socket_.get());
+    const int count =
+        recvmmsg(socket_.get(), b->in.data(), batch_size, 0, nullptr);
     const time_us now = boot_now();
     const std::lock_guard<std::mutex> lock(core_mutex_);
     apply_update();
@@ -291,7 +264,9 @@
         on_pause_();
     }
     if (count > 0)
-      handle_batch(now, b.get(), count);
+      handle_batch(now, now - empty_since, b.get(), count);
+    if (count < batch_size)
+      empty_since = now;
     // Timers run only after all queued segments are handled: after a pause of
     // this process, an answer among them must not count as missing.
     if (count < batch_size)
@@ -345,11 +320,14 @@
   log(log_category::traffic, log_level::info, name_of(event.kind), fields);
 }
 
-void segment_runner::handle_batch(time_us now, batch* b, int count) {
+void segment_runner::handle_batch(time_us now,
+                                  time_us since_empty,
+                                  batch* b,
+                                  int count) {
   last_segment_ = now;
-  const time_us wall = wall_now();
+  const time_us waited = since_empty >= min_delay ? since_empty : 0;
   for (int i = 0; i < count; ++i)
-    handle_segment(now, b->waited(i, wall), b, i);
+    handle_segment(now, waited, b, i);
   b->flush(socket_.get());
 }
 
