--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -224,6 +224,10 @@
   };
 
   forwarding_decision decide(time_us now, const segment& s, time_us waited);
+  /** Decides on an opening that cannot be placed. */
+  static forwarding_decision refuse(const segment& opening,
+                                    forwarding_reason reason,
+                                    const placement_choice& choice);
   bool is_superseded(const segment& opening, time_us waited) const;
   forwarding_decision on_opening(time_us now, const segment& s, time_us waited);
   forwarding_decision on_retransmitted(time_us now,
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -126,6 +126,15 @@
   return {forwarding_action::forward, forwarding_reason::continued, target, {}};
 }
 
+forwarding_decision forwarding_core::refuse(const segment& opening,
+                                            forwarding_reason reason,
+                                            const placement_choice& choice) {
+  // Another balancer may have opened the flow by an earlier copy.
+  const bool first = opening.acknowledged == 0;
+  return {first ? forwarding_action::reset : forwarding_action::drop, reason,
+          nullptr, choice};
+}
+
 bool forwarding_core::is_superseded(const segment& opening,
                                     time_us waited) const {
   // The acknowledged number of an opening counts the copies before.
@@ -146,7 +155,7 @@
   }
   const route_entry* route = table_->route_at(s.destination);
   if (route == nullptr)
-    return {forwarding_action::reset, forwarding_reason::no_route, nullptr, {}};
+    return refuse(s, forwarding_reason::no_route, {});
   return open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
 
@@ -185,8 +194,7 @@
   const placement_choice choice =
       placement_.choose(now, *table_, service, avoid);
   if (choice.target == nullptr) {
-    return {forwarding_action::reset, forwarding_reason::no_target, nullptr,
-            choice};
+    return refuse(s, forwarding_reason::no_target, choice);
   }
   if (flows_.size() < options_.max_flows) {
     add_flow(now, s, choice.target->token);
--- a/tests/unit/open_flow_test.cpp
+++ b/tests/unit/open_flow_test.cpp
@@ -152,6 +152,53 @@
   }
 }
 
+struct refusal_row {
+  const char* name;
+  bool has_route;
+  uint32_t copy;
+  forwarding_action expected;
+};
+
+// Another balancer may know the route or a target, and have opened the flow.
+BOOST_AUTO_TEST_CASE(copies_of_openings_are_not_reset) {
+  const refusal_row rows[] = {
+      {"no route", false, 0, forwarding_action::reset},
+      {"no route for a copy", false, 1, forwarding_action::drop},
+      {"no target", true, 0, forwarding_action::reset},
+      {"no target for the last copy", true, 2, forwarding_action::drop},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      forwarding_fixture balancer{table_builder()};
+      segment opening = balancer.segment_from(1);
+      opening.flags.opens = true;
+      opening.acknowledged = row.copy;
+      if (!row.has_route)
+        ++opening.destination.port;
+      const auto decision = balancer.core.on_segment(balancer.now, opening);
+      BOOST_TEST((decision.action == row.expected));
+      BOOST_TEST(
+          (decision.reason == (row.has_route ? forwarding_reason::no_target
+                                             : forwarding_reason::no_route)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_flow_whose_target_was_withdrawn_is_not_reset_by_a_copy) {
+  table_builder builder;
+  builder.add("a1", "north");
+  forwarding_fixture balancer(builder);
+  BOOST_TEST((balancer.open_flow(1).action == forwarding_action::forward));
+  builder.input.withdrawn_zones.insert("north");
+  balancer.core.set_table(balancer.now, builder.table());
+  balancer.wait(200 * us_per_ms);
+  segment copy = balancer.segment_from(1);
+  copy.flags.opens = true;
+  copy.acknowledged = 1;
+  const auto decision = balancer.core.on_segment(balancer.now, copy);
+  BOOST_TEST((decision.action == forwarding_action::drop));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
