--- a/apps/turmericstream/explain_page.cpp
+++ b/apps/turmericstream/explain_page.cpp
@@ -49,7 +49,7 @@
 
 /** The first row that matches any line of the flow gives the cause, so specific
  * failures come before general outcomes. */
-constexpr std::array<cause_row, 8> causes = {{
+constexpr std::array<cause_row, 9> causes = {{
     {"flow refused", "no_target",
      "Refused: the route's services had no target that may take new flows. See "
      "the entries below, `forwarder targets` and withdrawn zones."},
@@ -60,6 +60,9 @@
      "the table is older than the flow, or the target was removed long ago."},
     {"segment dropped", "no_table",
      "Dropped: the balancer had no table yet; see its start below."},
+    {"segment dropped", "superseded",
+     "Late: the opening waited in a balancer that was paused or overloaded, "
+     "until its caller repeated it."},
     {"target left an opening unanswered", "",
      "Late: its first target left the opening unanswered; the caller's "
      "repeated opening went to another target."},
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -36,8 +36,8 @@
     core.set_table(now, std::make_shared<const forwarding_table>(input));
   }
 
-  void send(const segment& s) {
-    core.on_segment(now, s);
+  void send(const segment& s, time_us waited = 0) {
+    core.on_segment(now, s, waited);
     append_event_lines();
   }
 
@@ -107,6 +107,10 @@
   b->send(later_segment(12345, false));
 }
 
+void simulate_superseded(logging_balancer* b) {
+  b->send(opening_segment(), us_per_s);
+}
+
 void simulate_served(logging_balancer* b) {
   b->send(opening_segment());
   const flow_token token = token_of("i-0");
@@ -124,6 +128,8 @@
        "Refused: the route's services had no target"},
       {"late after a target that did not answer", simulate_late,
        "Late: its first target"},
+      {"waited in the balancer", simulate_superseded,
+       "Late: the opening waited"},
       {"broken by an unknown token", simulate_broken,
        "Broken: a segment named"},
       {"served", simulate_served, "Served"},
