--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -121,6 +121,7 @@
   void log_event(const forwarding_event& event, uint64_t suppressed) const;
   void apply_update();
   void wake();
+  void clear_wake();
   /** @param since_empty Time since the socket was found empty. */
   void handle_batch(time_us now, time_us since_empty, batch* b, int count);
   /** @param waited Longest time for which the segment may have waited. */
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -185,13 +185,17 @@
   const time_us first_packet = boot_now();
   if (both[1].revents == 0)
     poll(&woken, 1, first_table_wait_ms);
+  clear_wake();
+  return first_packet;
+}
+
+void segment_runner::clear_wake() {
   uint64_t count = 0;
   if (read(wake_.get(), &count, sizeof(count)) < 0 && errno != EAGAIN) {
     log(log_category::traffic, log_level::warning,
         "cannot read the eventfd of the traffic thread",
         {{"reason", std::strerror(errno)}});
   }
-  return first_packet;
 }
 
 traffic_snapshot segment_runner::snapshot(bool with_flows) {
@@ -253,6 +257,8 @@
     const int wait = poll_timeout_ms();
     const time_us wait_started = boot_now();
     poll(poll_fds.data(), poll_fds.size(), wait);
+    if (poll_fds[1].revents != 0)
+      clear_wake();
     const int count =
         recvmmsg(socket_.get(), b->in.data(), batch_size, 0, nullptr);
     const time_us now = boot_now();
--- a/tests/unit/segment_runner_test.cpp
+++ b/tests/unit/segment_runner_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <ctime>
 #include <thread>
 
 #include "forwarding_fixture.h"
@@ -49,6 +50,10 @@
   return runner->snapshot(false).counters.reasons[static_cast<size_t>(reason)];
 }
 
+double processor_seconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
 struct wait_row {
   std::chrono::milliseconds until_table;
   forwarding_reason expected;
@@ -82,6 +87,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_late_first_table_leaves_the_thread_idle) {
+  const endpoint local{loopback, free_port()};
+  segment_runner runner(local, forwarding_fixture::options(), system_random());
+  BOOST_REQUIRE(runner.start().has_value());
+  send_opening(local);
+  // Longer than the thread waits for the table.
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  runner.publish({table_builder().table(), 1, {}, {}, {}, false});
+  const double before = processor_seconds();
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(processor_seconds() - before < 0.1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
