--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -122,8 +122,8 @@
   void apply_update();
   void wake();
   void clear_wake();
-  /** @param since_empty Time since the socket was found empty. */
-  void handle_batch(time_us now, time_us since_empty, batch* b, int count);
+  /** @param longest_wait Bound on the time that the segments waited. */
+  void handle_batch(time_us now, time_us longest_wait, batch* b, int count);
   /** @param waited Longest time for which the segment may have waited. */
   void handle_segment(time_us now, time_us waited, batch* b, int index);
 
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -14,6 +14,7 @@
 #include "turmeric/platform/segment_func.h"
 #include "turmeric/state/log_func.h"
 #include "turmeric/state/service_type.h"
+#include "turmeric/transport/arrival_bound_base.h"
 #include "turmeric/transport/clock_func.h"
 #include "turmeric/transport/socket_address_func.h"
 
@@ -29,6 +30,8 @@
 /** Bound on the peers' reports that wait for the traffic thread. */
 constexpr size_t max_pending_reports = 1024;
 constexpr int receive_buffer_bytes = 1 << 20;
+/** Least that the system counts for a datagram in a socket's buffer. */
+constexpr size_t min_datagram_bytes = 512;
 /** Log lines per second of each kind of event, in the order of
  * forwarding_event_kind; a line has about 300 bytes. Dropped segments get the
  * fewest, since anybody can cause them; refusals and events of targets are
@@ -41,14 +44,24 @@
 constexpr time_us min_pause = 500 * us_per_ms;
 /** Maximum poll timeout, below `min_delay`. */
 constexpr time_us max_wait = 100 * us_per_ms;
-/** Segments count as having waited if the thread found the socket empty longer
- * ago than this. */
+/** Segments count as having waited if they can have arrived longer ago than
+ * this. */
 constexpr time_us min_delay = 150 * us_per_ms;
 /** Longest wait for the first forwarding table after the first packet. Packets
  * are queued in the socket meanwhile; after a longer wait, their callers have
  * retransmitted them. */
 constexpr int first_table_wait_ms = 400;
 
+/** @return Most datagrams that wait in @p socket. */
+size_t capacity_of(int socket) {
+  int bytes = 0;
+  socklen_t size = sizeof(bytes);
+  // The system grants up to twice of what was asked for.
+  if (getsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, &size) != 0)
+    bytes = 2 * receive_buffer_bytes;
+  return static_cast<size_t>(bytes) / min_datagram_bytes + 1;
+}
+
 error system_error(const char* what) {
   return error{result_code::internal,
                std::string(what) + ": " + std::strerror(errno), "", 0};
@@ -252,7 +265,7 @@
   const auto b = std::make_unique<batch>();
   std::array<pollfd, 2> poll_fds = {pollfd{socket_.get(), POLLIN, 0},
                                     pollfd{wake_.get(), POLLIN, 0}};
-  time_us empty_since = await_first_table();
+  arrival_bound arrivals(await_first_table(), capacity_of(socket_.get()));
   while (!stopping_) {
     const int wait = poll_timeout_ms();
     const time_us wait_started = boot_now();
@@ -270,9 +283,9 @@
         on_pause_();
     }
     if (count > 0)
-      handle_batch(now, now - empty_since, b.get(), count);
-    if (count < batch_size)
-      empty_since = now;
+      handle_batch(now, now - arrivals.earliest(), b.get(), count);
+    arrivals.on_read(now, static_cast<size_t>(std::max(count, 0)),
+                     count < batch_size);
     // Timers run only after all queued segments are handled: after a pause of
     // this process, an answer among them must not count as missing.
     if (count < batch_size)
@@ -327,11 +340,11 @@
 }
 
 void segment_runner::handle_batch(time_us now,
-                                  time_us since_empty,
+                                  time_us longest_wait,
                                   batch* b,
                                   int count) {
   last_segment_ = now;
-  const time_us waited = since_empty >= min_delay ? since_empty : 0;
+  const time_us waited = longest_wait >= min_delay ? longest_wait : 0;
   for (int i = 0; i < count; ++i)
     handle_segment(now, waited, b, i);
   b->flush(socket_.get());
--- a/tests/unit/segment_runner_test.cpp
+++ b/tests/unit/segment_runner_test.cpp
@@ -11,6 +11,7 @@
 
 #include "forwarding_fixture.h"
 #include "turmeric/platform/segment_func.h"
+#include "turmeric/transport/arrival_bound_base.h"
 #include "turmeric/transport/clock_func.h"
 #include "turmeric/transport/file_descriptor_base.h"
 #include "turmeric/transport/socket_address_func.h"
@@ -100,6 +101,32 @@
   BOOST_TEST(processor_seconds() - before < 0.1);
 }
 
+struct read_step {
+  time_us at_ms;
+  size_t count;
+  bool empty;
+  time_us expected_ms;  ///< Earliest arrival of the datagrams read next.
+};
+
+BOOST_AUTO_TEST_CASE(a_socket_that_is_never_empty_is_bounded_by_its_capacity) {
+  // Each ten datagrams read are marked; seven marks make up the capacity.
+  constexpr size_t capacity = 63;
+  const read_step steps[] = {
+      {1010, 5, true, 1010},   {1500, 10, false, 1010}, {1510, 10, false, 1010},
+      {1520, 10, false, 1010}, {1530, 10, false, 1010}, {1540, 10, false, 1010},
+      {1550, 10, false, 1010}, {1560, 9, false, 1010},  {1570, 1, false, 1010},
+      {1580, 10, false, 1500}, {1590, 10, false, 1510}, {1600, 3, true, 1600},
+  };
+  arrival_bound bound(1000 * us_per_ms, capacity);
+  BOOST_TEST(bound.earliest() == 1000 * us_per_ms);
+  for (const auto& step : steps) {
+    BOOST_TEST_CONTEXT(step.at_ms << " ms") {
+      bound.on_read(step.at_ms * us_per_ms, step.count, step.empty);
+      BOOST_TEST(bound.earliest() == step.expected_ms * us_per_ms);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
