--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -274,9 +274,11 @@
       clear_wake();
     const int count =
         recvmmsg(socket_.get(), b->in.data(), batch_size, 0, nullptr);
-    const time_us now = boot_now();
+    const time_us read_at = boot_now();
     const std::lock_guard<std::mutex> lock(core_mutex_);
     apply_update();
+    // The lock and the update may have taken long.
+    const time_us now = boot_now();
     if (now - wait_started >= wait * us_per_ms + min_pause) {
       core_.on_pause(now);
       if (on_pause_)
@@ -284,7 +286,7 @@
     }
     if (count > 0)
       handle_batch(now, now - arrivals.earliest(), b.get(), count);
-    arrivals.on_read(now, static_cast<size_t>(std::max(count, 0)),
+    arrivals.on_read(read_at, static_cast<size_t>(std::max(count, 0)),
                      count < batch_size);
     // Timers run only after all queued segments are handled: after a pause of
     // this process, an answer among them must not count as missing.
--- a/tests/unit/segment_runner_test.cpp
+++ b/tests/unit/segment_runner_test.cpp
@@ -1,11 +1,16 @@
 /** @file segment_runner_test.cpp The traffic thread on a real socket. */
 #include "turmeric/transport/segment_runner_base.h"
 
+#include <poll.h>
+#include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
+#include <cstring>
 #include <ctime>
 #include <thread>
 
@@ -22,6 +27,7 @@
 constexpr uint32_t loopback = 0x7f000001;
 constexpr uint8_t opens_flag = 128;
 constexpr size_t flags_offset = 4;
+constexpr size_t source_offset = 16;
 /** Longest time until the traffic thread has handled a datagram. */
 constexpr auto handling_time = std::chrono::seconds(5);
 
@@ -37,10 +43,13 @@
   return ntohs(address.sin_port);
 }
 
-void send_opening(endpoint to) {
+/** Sends an opening without a route. */
+void send_opening(const file_descriptor& from, endpoint caller, endpoint to) {
   std::array<uint8_t, platform::header_bytes> packet{};
   packet[flags_offset] = opens_flag;
-  const file_descriptor from(socket(AF_INET, SOCK_DGRAM, 0));
+  const sockaddr_in source = to_sockaddr(caller);
+  std::memcpy(&packet[source_offset], &source.sin_addr,
+              sizeof(source.sin_addr));
   const sockaddr_in address = to_sockaddr(to);
   BOOST_REQUIRE(sendto(from.get(), packet.data(), packet.size(), 0,
                        reinterpret_cast<const sockaddr*>(&address),
@@ -76,7 +85,8 @@
       segment_runner runner(local, forwarding_fixture::options(),
                             system_random());
       BOOST_REQUIRE(runner.start().has_value());
-      send_opening(local);
+      send_opening(file_descriptor(socket(AF_INET, SOCK_DGRAM, 0)),
+                   {loopback, 1}, local);
       std::this_thread::sleep_for(row.until_table);
       runner.publish({table_builder().table(), 1, {}, {}, {}, false});
       const auto deadline = std::chrono::steady_clock::now() + handling_time;
@@ -92,7 +102,8 @@
   const endpoint local{loopback, free_port()};
   segment_runner runner(local, forwarding_fixture::options(), system_random());
   BOOST_REQUIRE(runner.start().has_value());
-  send_opening(local);
+  send_opening(file_descriptor(socket(AF_INET, SOCK_DGRAM, 0)), {loopback, 1},
+               local);
   // Longer than the thread waits for the table.
   std::this_thread::sleep_for(std::chrono::milliseconds(600));
   runner.publish({table_builder().table(), 1, {}, {}, {}, false});
@@ -127,6 +138,52 @@
   }
 }
 
+/** Keeps a thread from running for 300 ms. */
+void pause_thread(int) {
+  const timespec pause{0, 300 * us_per_ms * 1000};
+  nanosleep(&pause, nullptr);
+}
+
+// A reader of the state that is descheduled holds the lock of the core.
+BOOST_AUTO_TEST_CASE(openings_that_wait_for_the_state_are_not_reset) {
+  constexpr int rounds = 6;
+  constexpr int max_reply_ms = 250;
+  table_builder builder;
+  for (int i = 0; i < 3000; ++i)
+    builder.add("t" + std::to_string(i), "north");
+  std::signal(SIGUSR1, pause_thread);
+  for (int round = 0; round < rounds; ++round) {
+    const endpoint local{loopback, free_port()};
+    segment_runner runner(local, forwarding_fixture::options(),
+                          system_random());
+    BOOST_REQUIRE(runner.start().has_value());
+    runner.publish({builder.table(), 1, {}, {}, {}, false});
+    // Resets go to the caller's address at the balancer's port.
+    const endpoint caller{loopback + 1, local.port};
+    const file_descriptor from(socket(AF_INET, SOCK_DGRAM, 0));
+    const sockaddr_in address = to_sockaddr(caller);
+    BOOST_REQUIRE(bind(from.get(), reinterpret_cast<const sockaddr*>(&address),
+                       sizeof(address)) == 0);
+    std::atomic<bool> end{false};
+    std::thread reader([&] {
+      while (!end)
+        runner.snapshot(true);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    pthread_kill(reader.native_handle(), SIGUSR1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    const auto sent = std::chrono::steady_clock::now();
+    send_opening(from, caller, local);
+    pollfd reply{from.get(), POLLIN, 0};
+    const bool replied = poll(&reply, 1, 600) > 0;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - sent);
+    BOOST_TEST((!replied || elapsed.count() < max_reply_ms));
+    end = true;
+    reader.join();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace turmeric
