--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -233,6 +233,7 @@
   forwarding_decision on_retransmitted(time_us now,
                                        const segment& s,
                                        time_us waited,
+                                       const route_entry& route,
                                        flow_state* flow);
   forwarding_decision open_flow(time_us now,
                                 const segment& s,
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -146,37 +146,47 @@
 forwarding_decision forwarding_core::on_opening(time_us now,
                                                 const segment& s,
                                                 time_us waited) {
+  const route_entry* route = table_->route_at(s.destination);
+  if (route == nullptr)
+    return refuse(s, forwarding_reason::no_route, {});
   const auto it = flows_.find(key_of(s));
   if (it != flows_.end()) {
     if (!it->second.ended &&
         now - it->second.opened < options_.opening_lifetime)
-      return on_retransmitted(now, s, waited, &it->second);
+      return on_retransmitted(now, s, waited, *route, &it->second);
     end_flow(now, key_of(s));
   }
-  const route_entry* route = table_->route_at(s.destination);
-  if (route == nullptr)
-    return refuse(s, forwarding_reason::no_route, {});
   return open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
 
 forwarding_decision forwarding_core::on_retransmitted(time_us now,
                                                       const segment& s,
                                                       time_us waited,
+                                                      const route_entry& route,
                                                       flow_state* flow) {
   const forwarding_target* first_target = table_->target_of(flow->token);
-  if (first_target == nullptr) {
+  // The target may have got another service since.
+  const bool serves_route =
+      first_target != nullptr &&
+      std::any_of(route.services.begin(), route.services.end(),
+                  [&](const auto& weighted) {
+                    return weighted.service == first_target->entry.service;
+                  });
+  if (first_target == nullptr || (flow->answered && !serves_route)) {
     return {
         forwarding_action::drop, forwarding_reason::unknown_token, nullptr, {}};
   }
   const time_us arrived = now - waited;
-  if (flow->answered || arrived - flow->opened < options_.min_retransmit_time)
+  if (serves_route &&
+      (flow->answered || arrived - flow->opened < options_.min_retransmit_time))
     return {forwarding_action::forward,
             forwarding_reason::repeated,
             first_target,
             {}};
   count_unanswered(now, key_of(s), flow);
   const flow_token avoid = flow->token;
-  const std::string service = first_target->entry.service;
+  const std::string service =
+      serves_route ? first_target->entry.service : service_of(route, key_of(s));
   end_flow(now, key_of(s));
   forwarding_decision decision = open_flow(now, s, service, avoid);
   if (decision.action == forwarding_action::forward) {
--- a/tests/unit/open_flow_test.cpp
+++ b/tests/unit/open_flow_test.cpp
@@ -184,6 +184,29 @@
   }
 }
 
+// An id may start again with another service, or its entry be overwritten.
+BOOST_AUTO_TEST_CASE(copies_stay_with_the_services_of_their_route) {
+  for (const time_us after_ms : {20, 200}) {
+    BOOST_TEST_CONTEXT(after_ms << " ms") {
+      table_builder builder;
+      builder.add("a1", "north");
+      forwarding_fixture balancer(builder);
+      balancer.open_flow(1);
+      builder.add("m1", "north").entry.service = "mail";
+      builder.add("a2", "north");
+      builder.input.targets[0].entry.service = "mail";
+      balancer.core.set_table(balancer.now, builder.table());
+      balancer.wait(after_ms * us_per_ms);
+      segment copy = balancer.segment_from(1);
+      copy.flags.opens = true;
+      copy.acknowledged = 1;
+      const auto decision = balancer.core.on_segment(balancer.now, copy);
+      BOOST_REQUIRE(decision.target != nullptr);
+      BOOST_TEST(decision.target->entry.service == "notes");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_flow_whose_target_was_withdrawn_is_not_reset_by_a_copy) {
   table_builder builder;
   builder.add("a1", "north");
