--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -93,6 +93,11 @@
    * usual answer time, even of a slow registry. */
   time_us probe_timeout = 700 * us_per_ms;
   time_us max_probe_timeout = 1500 * us_per_ms;
+  /** Calls to a lost registry start at most `calm_time` less `lapse_grace` less
+   * this apart: expired entries get their grace period from the first answer,
+   * and it has to end before the platform's bounds hold again. Several times
+   * the usual answer time. */
+  time_us retry_margin = 100 * us_per_ms;
   time_us backoff_min = 100 * us_per_ms;  ///< First retry, before jitter.
   time_us backoff_max = 500 * us_per_ms;
   /** Grace period in which a target whose entry disappeared without a drain
@@ -228,6 +233,7 @@
     time_us last_pull = 0;  ///< Of all entries, from any peer; 0 if none.
     uint32_t failures = 0;
     bool last_call_failed = false;
+    bool last_call_lost = false;  ///< It failed without an answer.
     watch_role role = watch_role::passive;
     bool load_logged = false;  ///< The first state has been logged.
     registry_version list_version;
@@ -293,6 +299,12 @@
                               const kind_sync& sync) const;
   /** Finds the next end of the hold of a withdrawal lost in a restore. */
   void update_hold_end(time_us now);
+  /** Retries the kinds whose last call got no answer, since that of another
+   * kind did. Calls in flight that were sent before the answered one are lost.
+   */
+  void retry_lost_calls(time_us now,
+                        time_us answered_call_started,
+                        actions* out);
   void catch_up_all(time_us now, const std::string& cause, actions* out);
   void start_catch_up(time_us now, directory_kind kind, actions* out);
   /** @return The pause after a watch that brought changes. */
@@ -346,6 +358,9 @@
   bool is_watching(directory_kind kind) const;
   /** @return The longest wait of one watch. */
   time_us watch_wait() const;
+  /** @return The longest time between the starts of two calls to a lost
+   * registry. */
+  time_us max_retry_interval() const;
   /** @return Whether a call is to be started now; else sets the time of the
    * next check if this one was due. */
   bool call_due(time_us now, directory_kind kind);
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -138,6 +138,7 @@
   if (sync == nullptr)
     return out;
   sync->call_id = 0;
+  const time_us call_started = sync->call_started;
   if (!accept_era(now, kind, reply, &out))
     return out;
   if (reply.status == registry_status::ok ||
@@ -147,8 +148,9 @@
     on_call_failed(now, kind, reply, &out);
     return out;
   }
-  if (sync->last_call_failed) {
-    sync->last_call_failed = false;
+  const bool regained = sync->last_call_failed;
+  if (regained) {
+    sync->last_call_failed = sync->last_call_lost = false;
     out.push_back(directory_log_line{"registry regained",
                                      {{"kind", std::string(name_of(kind))}}});
     if (kind == directory_kind::targets)
@@ -173,14 +175,40 @@
     if (call_due(now, kind))
       start_call(now, kind, &out);
   }
+  if (regained)
+    retry_lost_calls(now, call_started, &out);
   return out;
 }
 
+void directory_core::retry_lost_calls(time_us now,
+                                      time_us answered_call_started,
+                                      actions* out) {
+  for (const directory_kind kind : call_order) {
+    kind_sync& sync = sync_of(kind);
+    if (!sync.last_call_lost)
+      continue;
+    if (sync.call_id == 0) {
+      sync.next_call = now;
+      if (call_due(now, kind))
+        start_call(now, kind, out);
+      continue;
+    }
+    // A list or catch-up may be in transit for long.
+    if (!sync.must_list && !sync.catch_up &&
+        sync.call_started < answered_call_started)
+      start_call(now, kind, out);
+  }
+}
+
 time_us directory_core::watch_wait() const {
   return std::clamp(options_.calm_time - options_.watch_margin, min_watch_wait,
                     max_watch_wait);
 }
 
+time_us directory_core::max_retry_interval() const {
+  return options_.calm_time - options_.lapse_grace - options_.retry_margin;
+}
+
 time_us directory_core::next_batch_pause(time_us now, kind_sync* sync) const {
   const bool in_succession =
       sync->last_change != 0 &&
@@ -273,6 +301,7 @@
                                     const registry_reply& reply,
                                     actions* out) {
   kind_sync& sync = sync_of(kind);
+  sync.last_call_lost = reply.status == registry_status::unreachable;
   if (!sync.last_call_failed) {
     sync.last_call_failed = true;
     out->push_back(directory_log_line{
@@ -305,6 +334,10 @@
   sync.next_call =
       now + backoff / 2 +
       static_cast<time_us>(random_() % static_cast<uint64_t>(backoff));
+  if (sync.last_call_lost && !sync.must_list && !sync.catch_up)
+    sync.next_call = std::min(
+        sync.next_call,
+        std::max(now + backoff / 4, sync.call_started + max_retry_interval()));
 }
 
 void directory_core::on_replica_changes(
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -212,6 +212,57 @@
   BOOST_TEST(f.call(directory_kind::targets).wait > us_per_s);
 }
 
+// After an outage of the registry, each kind waited for the timeout of its own
+// lost call, although another kind had already been answered.
+BOOST_AUTO_TEST_CASE(answer_for_one_kind_retries_the_lost_calls_of_others) {
+  directory_fixture f;
+  f.load();
+  const auto lose = [&f](directory_kind kind) {
+    f.reply(kind, 0, {}, registry_status::unreachable);
+    f.advance(200 * us_per_ms);
+  };
+  lose(directory_kind::targets);
+  lose(directory_kind::routing);
+  lose(directory_kind::withdrawals);
+  const uint64_t lost = f.call(directory_kind::targets).id;
+  f.reply(directory_kind::withdrawals, 40, {});
+  BOOST_TEST(f.call(directory_kind::targets).id != lost);
+  BOOST_TEST(is_catch_up_watch(f.call(directory_kind::targets)));
+  // A call sent after the answered one is not lost.
+  const uint64_t newer = f.call(directory_kind::targets).id;
+  f.reply(directory_kind::routing, 40, {});
+  BOOST_TEST(f.call(directory_kind::targets).id == newer);
+}
+
+// With longer pauses, the grace period of entries that expired in an outage,
+// which begins with the first answer, outlasts the time until bounds hold
+// again.
+BOOST_AUTO_TEST_CASE(
+    lost_registry_is_called_within_the_time_left_by_the_grace) {
+  const directory_options options;
+  const time_us time_left = options.calm_time - options.lapse_grace;
+  const time_us step = 10 * us_per_ms;
+  directory_fixture f;
+  f.load();
+  f.reply(directory_kind::targets, 0, {}, registry_status::unreachable);
+  uint64_t last_call = f.call(directory_kind::targets).id;
+  time_us called = f.now;
+  time_us longest = 0;
+  for (int i = 0; i < 6000; ++i) {
+    const registry_call& call = f.call(directory_kind::targets);
+    if (call.id != last_call) {
+      longest = std::max(longest, f.now - called);
+      called = f.now;
+      last_call = call.id;
+    }
+    if (f.now - called == call.timeout)
+      f.reply(directory_kind::targets, 0, {}, registry_status::unreachable);
+    f.advance(step);
+  }
+  BOOST_TEST(longest > options.max_probe_timeout);
+  BOOST_TEST(longest < time_left);
+}
+
 struct watch_failure_row {
   const char* name;
   registry_status status;
