--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -266,9 +266,11 @@
   void end_flow(time_us now, const flow_key& key);
   void set_active(time_us now, flow_state* flow, bool active);
   void count_unanswered(time_us now, const flow_key& key, flow_state* flow);
+  /** @param alive_at See placement::on_answer(). */
   void record_answer(time_us now,
                      const flow_key& key,
-                     const forwarding_target& target);
+                     const forwarding_target& target,
+                     time_us alive_at);
   bool is_logged(const flow_key& key) const;
   void log_decision(time_us now,
                     const segment& s,
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -120,8 +120,15 @@
   /** Counts a flow of the target as active again. */
   void on_flow_resumed(time_us now, const forwarding_target& target);
 
-  /** Records that a caller got an answer from the target. */
-  void on_answer(time_us now, const forwarding_target& target);
+  /** Records that a caller got an answer from the target.
+   * @param alive_at Time since which the target must have sent it. */
+  void on_answer(time_us now,
+                 const forwarding_target& target,
+                 time_us alive_at);
+
+  /** @return Whether an answer sent at @p alive_at or later shows that the
+   * target answers again after an opening left unanswered. */
+  bool ends_silence(flow_token token, time_us alive_at) const;
 
   /** Records that the target left an opening unanswered.
    * @param opened When the opening was sent. */
@@ -177,6 +184,8 @@
     uint32_t active_flows = 0;
     uint32_t failures = 0;  ///< Unanswered openings since the last answer.
     time_us suspected_until = 0;
+    /** When the newest unanswered opening was sent, own or reported. */
+    time_us silent_since = 0;
     time_us last_answer = 0;     ///< To any flow of this balancer.
     uint32_t peer_failures = 0;  ///< Unanswered openings that peers reported.
     time_us peer_suspected_until = 0;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -297,7 +297,7 @@
     add_event(now, forwarding_event_kind::answered, key, target.token);
   const bool acknowledges_more = is_later(s.acknowledged, flow.acknowledged);
   if (!flow.answered || acknowledges_more) {
-    record_answer(now, key, target);
+    record_answer(now, key, target, flow.last_segment);
     flow.acknowledged = s.acknowledged;
   }
   if (s.data_bytes != 0)
@@ -344,12 +344,11 @@
 
 void forwarding_core::record_answer(time_us now,
                                     const flow_key& key,
-                                    const forwarding_target& target) {
-  if (placement_.failures(target.token) +
-          placement_.reported_failures(target.token) !=
-      0)
+                                    const forwarding_target& target,
+                                    time_us alive_at) {
+  if (placement_.ends_silence(target.token, alive_at))
     add_event(now, forwarding_event_kind::target_recovered, key, target.token);
-  placement_.on_answer(now, target);
+  placement_.on_answer(now, target, alive_at);
   stalls_.on_progress(now, target);
 }
 
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -297,7 +297,22 @@
   add_load(now, target, 1);
 }
 
-void placement::on_answer(time_us now, const forwarding_target& target) {
+bool placement::ends_silence(flow_token token, time_us alive_at) const {
+  const auto it = targets_.find(token);
+  return it != targets_.end() &&
+         it->second.failures + it->second.peer_failures != 0 &&
+         alive_at >= it->second.silent_since;
+}
+
+void placement::on_answer(time_us now,
+                          const forwarding_target& target,
+                          time_us alive_at) {
+  target_state& state = targets_[target.token];
+  // A caller repeats a lost acknowledgement for seconds, so that the answer may
+  // be older than the target's silence.
+  if (state.failures + state.peer_failures != 0 &&
+      alive_at < state.silent_since)
+    return;
   zone_state& zone = zones_[target.entry.zone];
   zone.last_answer = now;
   if (zone.silent.size() >= options_.min_silent_targets) {
@@ -312,7 +327,6 @@
   }
   zone.silent.clear();
   zone.probing = false;
-  target_state& state = targets_[target.token];
   // While the registry is lost, the entry may not show that a restarted target
   // is cold, so any unanswered opening may mean a restart.
   const bool was_down = silence_confirmed(state) || registry_lost_;
@@ -327,7 +341,7 @@
   }
   state.last_answer = now;
   state.failures = state.peer_failures = 0;
-  state.suspected_until = state.peer_suspected_until = 0;
+  state.suspected_until = state.peer_suspected_until = state.silent_since = 0;
   state.probing = false;
 }
 
@@ -342,6 +356,7 @@
   }
   target_state& state = targets_[target.token];
   ++state.failures;
+  state.silent_since = std::max(state.silent_since, opened);
   state.probing = false;
   const uint32_t doublings = std::min(state.failures - 1, max_doublings);
   const time_us duration = std::min(options_.suspicion_time << doublings,
@@ -362,13 +377,15 @@
     if (silence_confirmed(state) && restarts_may_be_unseen())
       state.presumed_cold_until = now + remaining;
     state.failures = state.peer_failures = 0;
-    state.suspected_until = state.peer_suspected_until = 0;
+    state.suspected_until = state.peer_suspected_until = state.silent_since = 0;
     state.probing = false;
     penalize_recovery(now, remaining, report.failures != 0, &state);
     return;
   }
   if (state.last_answer >= now - std::max<time_us>(report.age, 0))
     return;  // It has answered this balancer since.
+  state.silent_since =
+      std::max(state.silent_since, now - std::max<time_us>(report.age, 0));
   state.peer_failures += std::min(report.failures, max_doublings);
   state.peer_suspected_until =
       std::max(state.peer_suspected_until,
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -203,6 +203,46 @@
   BOOST_TEST(balancer.core.placing().failures(token) == 0u);
 }
 
+// A caller repeated a lost acknowledgement until after the target was gone, and
+// all balancers took it for an answer of the target.
+BOOST_AUTO_TEST_CASE(answers_older_than_the_silence_do_not_end_it) {
+  table_builder builder;
+  builder.add("a", "north");
+  forwarding_fixture balancer(builder);
+  balancer.wait(reporting_delay);
+  const flow_token token = balancer.open_flow(1).target->token;
+  balancer.wait(5 * us_per_ms);
+  balancer.send_segment(1, token, 1);
+  balancer.wait(us_per_ms);
+  balancer.open_flow(2);
+  balancer.wait(50 * us_per_ms);
+  balancer.core.take_reports();
+  balancer.send_segment(1, token, 600);
+  BOOST_TEST(balancer.core.placing().failures(token) == 1u);
+  BOOST_TEST(balancer.core.take_reports().reports.empty());
+  // What it acknowledges now was sent after the segment before it.
+  balancer.wait(5 * us_per_ms);
+  balancer.send_segment(1, token, 1200);
+  BOOST_TEST(balancer.core.placing().failures(token) == 0u);
+  BOOST_TEST(balancer.core.take_reports().reports.size() == 1u);
+}
+
+// A peer's report of a silence is not ended by an older answer either.
+BOOST_AUTO_TEST_CASE(answers_older_than_a_reported_silence_do_not_end_it) {
+  table_builder builder;
+  builder.add("a", "north");
+  forwarding_fixture balancer(builder);
+  balancer.wait(reporting_delay);
+  const flow_token token = balancer.open_flow(1).target->token;
+  balancer.wait(20 * us_per_ms);
+  balancer.wait(40 * us_per_ms);
+  balancer.core.on_peer_reports(balancer.now, {silent_report("a", 2)});
+  balancer.send_segment(1, token, 1);
+  BOOST_TEST(balancer.core.placing().reported_failures(token) == 2u);
+  balancer.send_segment(1, token, 600);
+  BOOST_TEST(balancer.core.placing().reported_failures(token) == 0u);
+}
+
 // While the registry is unreachable, the entry of a restarted target does not
 // say that it is cold.
 BOOST_AUTO_TEST_CASE(without_the_registry_any_silence_may_be_a_restart) {
