--- a/tests/unit/open_flow_test.cpp
+++ b/tests/unit/open_flow_test.cpp
@@ -21,6 +21,9 @@
   /** Targets whose answers do not reach the callers. */
   std::vector<const char*> silent;
   route_kind kind;
+  /** Peers report the targets as silent, no heartbeat comes from their zone,
+   * and the registry is lost. */
+  bool all_speaks_against = false;
 };
 
 /** Callers whose requests stay unanswered at the targets named. */
@@ -63,6 +66,10 @@
       {"one target of the own zone", {"a1"}, route_kind::safe},
       {"one target, downloads", {"b1"}, route_kind::download},
       {"a whole zone", {"b1", "b2", "b3"}, route_kind::safe},
+      {"a whole zone, to all that is known",
+       {"b1", "b2", "b3"},
+       route_kind::safe,
+       true},
   };
   for (const auto& row : rows) {
     BOOST_TEST_CONTEXT(row.name) {
@@ -73,6 +80,15 @@
       silence_fixture balancer(builder);
       balancer.wait(2 * us_per_s);
       balancer.leave_openings_unanswered(row.silent);
+      if (row.all_speaks_against) {
+        balancer.core.set_silent_zones({"south"});
+        balancer.core.set_registry_lost(true);
+        for (const char* target : row.silent) {
+          balancer.core.on_peer_reports(
+              balancer.now,
+              {{token_of(target), target_observation::silent, 0, us_per_s, 4}});
+        }
+      }
       std::vector<std::pair<uint16_t, const char*>> flows;
       for (uint16_t port = 1; port <= 6; ++port)
         flows.emplace_back(port, row.silent[port % row.silent.size()]);
