--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -272,9 +272,9 @@
     poll(poll_fds.data(), poll_fds.size(), wait);
     if (poll_fds[1].revents != 0)
       clear_wake();
+    const time_us read_at = boot_now();
     const int count =
         recvmmsg(socket_.get(), b->in.data(), batch_size, 0, nullptr);
-    const time_us read_at = boot_now();
     const std::lock_guard<std::mutex> lock(core_mutex_);
     apply_update();
     // The lock and the update may have taken long.
