--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,12 +1,9 @@
 /** @file soak_main.cpp Soak test: balancers as processes on loopback, under
  * faults drawn from a seed. */
-#include <fcntl.h>
 #include <fmt/format.h>
 #include <getopt.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/stat.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -17,13 +14,12 @@
 #include <functional>
 #include <memory>
 
+#include "soak_process.h"
 #include "soak_site.h"
 #include "turmeric/state/service_type.h"
 #include "turmeric/transport/clock_func.h"
 #include "turmeric/transport/http_base.h"
 
-extern char** environ;
-
 namespace turmeric::tests {
 namespace {
 
@@ -56,66 +52,6 @@
     "receive. With --promises-only the share of flows served after the faults\n"
     "is printed and not checked, since it depends on the machine's speed.\n";
 
-/** A balancer process that can be restarted. */
-class balancer_process {
- public:
-  balancer_process(std::string daemon, std::string settings)
-      : daemon_(std::move(daemon)), settings_(std::move(settings)) {}
-  ~balancer_process() { kill_and_wait(); }
-  balancer_process(const balancer_process&) = delete;
-  balancer_process& operator=(const balancer_process&) = delete;
-
-  /** Starts the process unless it runs; its output is appended to a log file
-   * beside the settings. */
-  void start() {
-    if (pid_ != 0)
-      return;
-    const std::string log_path = settings_ + ".log";
-    posix_spawn_file_actions_t file_actions;
-    posix_spawn_file_actions_init(&file_actions);
-    posix_spawn_file_actions_addopen(&file_actions, STDOUT_FILENO,
-                                     log_path.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    std::string settings_flag = "--settings";
-    char* arguments[] = {daemon_.data(), settings_flag.data(), settings_.data(),
-                         nullptr};
-    if (posix_spawn(&pid_, daemon_.c_str(), &file_actions, nullptr, arguments,
-                    environ) != 0) {
-      fmt::print(stderr, "soak: cannot start the balancer program {}\n",
-                 daemon_);
-      std::exit(3);
-    }
-    posix_spawn_file_actions_destroy(&file_actions);
-  }
-
-  void send_signal(int number) {
-    if (pid_ != 0)
-      kill(pid_, number);
-  }
-
-  /** @return Whether the process does not run; reaps it if it has exited. */
-  bool has_exited() {
-    if (pid_ != 0 && waitpid(pid_, nullptr, WNOHANG) == pid_)
-      pid_ = 0;
-    return pid_ == 0;
-  }
-
-  /** Kills the process, also if it is stopped, and waits for its exit. */
-  void kill_and_wait() {
-    if (pid_ == 0)
-      return;
-    kill(pid_, SIGCONT);
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
-    pid_ = 0;
-  }
-
- private:
-  std::string daemon_;
-  std::string settings_;
-  pid_t pid_ = 0;
-};
-
 endpoint balancer_address(size_t i, uint16_t port) {
   return {first_balancer_ip + static_cast<uint32_t>(i), port};
 }
@@ -166,15 +102,14 @@
         traffic_.set_undisturbed_since(start + std::max(now, last_fault_end()));
       }
       run_scheduled(now);
-      for (const auto& balancer : processes_) {
-        if (balancer->has_exited())
-          balancer->start();
-      }
+      restart_exited();
       const soak_counts counts = traffic_.take_counts();
       add_counts(&all_counts, counts);
       if (now >= fault_phase_end + settle_time)
         add_counts(&undisturbed_counts, counts);
     }
+    all_counts.violations.insert(all_counts.violations.end(),
+                                 exit_faults_.begin(), exit_faults_.end());
     return evaluate(all_counts, undisturbed_counts);
   }
 
@@ -209,6 +144,17 @@
     return held;
   }
 
+  void restart_exited() {
+    for (size_t i = 0; i < processes_.size(); ++i) {
+      if (!processes_[i]->has_exited())
+        continue;
+      const std::string fault = processes_[i]->exit_fault();
+      if (!fault.empty())
+        exit_faults_.push_back(fmt::format("balancer {} ended: {}", i, fault));
+      processes_[i]->start();
+    }
+  }
+
   std::string routing_json() const {
     return fmt::format(
         R"({{"version":{},"routes":[{{"name":"r","host":"198.18.0.1",)"
@@ -392,6 +338,7 @@
   bool target_fault_active_ = false;
   std::array<bool, target_count> draining_{};
   std::string injected_faults_;
+  std::vector<std::string> exit_faults_;
 };
 
 int run_program(int argc, char** argv) {
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -42,7 +42,8 @@
 
 }  // namespace
 
-soak_store::soak_store() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+soak_store::soak_store()
+    : listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -75,7 +76,7 @@
   while (!stopping_) {
     if (poll(&polled, 1, max_poll_ms) != 1)
       continue;
-    const int fd = ::accept(listener_.get(), nullptr, nullptr);
+    const int fd = accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC);
     if (fd >= 0)
       connection_threads_.emplace_back([this, fd] { serve_connection(fd); });
   }
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -33,7 +33,8 @@
 constexpr uint64_t first_target_number = 0xa0;
 
 file_descriptor bind_udp(endpoint e) {
-  file_descriptor fd(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0));
+  file_descriptor fd(
+      socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const sockaddr_in address = to_sockaddr(e);
   if (bind(fd.get(), reinterpret_cast<const sockaddr*>(&address),
            sizeof(address)) != 0) {
