--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -7,14 +7,17 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <memory>
 
 #include "soak_process.h"
+#include "soak_series.h"
 #include "soak_site.h"
 #include "turmeric/state/service_type.h"
 #include "turmeric/transport/clock_func.h"
@@ -23,34 +26,71 @@
 namespace turmeric::tests {
 namespace {
 
-constexpr size_t balancer_count = 4;
-constexpr size_t target_count = 6;
+constexpr size_t default_balancers = 4;
+/** Their addresses and those of the targets end in one byte. */
+constexpr size_t max_balancers = 160;
 constexpr uint32_t first_balancer_ip = 0x7f0a0001;  // 127.10.0.1
-constexpr uint16_t packet_port = 18172;
-constexpr uint16_t ready_port = 18167;
-constexpr uint16_t peer_port = 17720;
 constexpr auto loop_interval = std::chrono::milliseconds(100);
 constexpr time_us probe_interval = 500 * us_per_ms;
-constexpr time_us run_duration = 19 * us_per_s;
-/** No fault starts later; balancers, registry and targets recover after it. */
-constexpr time_us fault_phase_end = 8 * us_per_s;
-/** Flows count for min_served_share from this long after fault_phase_end. */
+constexpr time_us probe_timeout = 50 * us_per_ms;
+constexpr time_us first_fault = 2 * us_per_s;
+/** No fault starts later by default; balancers, registry and targets recover
+ * after it. */
+constexpr time_us default_fault_phase_end = 8 * us_per_s;
+/** A restore of the registry, by 10 s, ends before the drain after all faults.
+ */
+constexpr time_us min_fault_phase_end = 4 * us_per_s;
+/** Duration of a run beyond the end of its fault phase. */
+constexpr time_us recovery_phase = 11 * us_per_s;
+/** Flows count for min_served_share from this long after the fault phase. */
 constexpr time_us settle_time = 3 * us_per_s;
-/** Target 0 drains at this time, after all faults: the last may go on for 4 s,
- * until 12 s. Balancers are in touch again 4 s later, at 16 s, and the bound
- * on openings at the target applies from 17 s, 3 s after the drain began. */
-constexpr time_us undisturbed_drain_time = 14 * us_per_s;
+/** Target 0 drains this long after the fault phase, after all faults: the last
+ * may go on for 4 s. Balancers are in touch again 4 s later, and the bound on
+ * openings at the target applies from 9 s, 3 s after the drain began. */
+constexpr time_us undisturbed_drain_delay = 6 * us_per_s;
+/** From SIGTERM to SIGKILL; also in the settings of the balancers. */
+constexpr time_us stop_grace = 3 * us_per_s;
+/** Longest start of a large fleet. */
+constexpr time_us start_timeout = 30 * us_per_s;
 /** Lowest accepted share of flows served after the faults. */
 constexpr double min_served_share = 0.98;
 
 constexpr const char* usage_text =
     "Usage: soak --daemon PATH [--seed N] [--runs N] [--minutes M]\n"
-    "            [--promises-only]\n"
+    "            [--balancers N] [--fault-seconds S] [--promises-only]\n"
     "\n"
     "Starts balancers on loopback addresses 127.10.0.x, injects faults into\n"
     "them, the registry and targets, and checks what callers and targets\n"
     "receive. With --promises-only the share of flows served after the faults\n"
-    "is printed and not checked, since it depends on the machine's speed.\n";
+    "is printed and not checked, since it depends on the machine's speed.\n"
+    "With --balancers above 4 (to 160) there are 3 targets for 2 balancers,\n"
+    "targets are loaded and take time, and balancers are restarted in turn,\n"
+    "paused and killed in series that overlap. Faults start until S seconds\n"
+    "(8) after the start of a run, which takes 11 s more.\n";
+
+struct soak_options {
+  std::string daemon;
+  size_t balancers = default_balancers;
+  time_us fault_phase_end = default_fault_phase_end;
+  bool promises_only = false;
+
+  bool large() const { return balancers > default_balancers; }
+  size_t targets() const { return balancers * 3 / 2; }
+};
+
+soak_load load_of(const soak_options& options) {
+  constexpr time_us default_open_interval = 5 * us_per_ms;
+  constexpr size_t default_long_flows = 24;
+  if (!options.large())
+    return {default_open_interval, default_long_flows, 0};
+  // The two slots of a target are busy for three quarters of the time, half of
+  // it for short flows, so that some requests wait.
+  constexpr int64_t openings_per_target = 12;
+  constexpr size_t long_flows_per_target = 5;
+  const auto targets = static_cast<int64_t>(options.targets());
+  return {us_per_s / (openings_per_target * targets),
+          long_flows_per_target * options.targets(), 80 * us_per_ms};
+}
 
 endpoint balancer_address(size_t i, uint16_t port) {
   return {first_balancer_ip + static_cast<uint32_t>(i), port};
@@ -59,43 +99,51 @@
 /** One run: balancers, their surroundings and faults drawn from a seed. */
 class soak_run {
  public:
-  soak_run(const std::string& daemon, uint64_t seed, bool promises_only)
-      : promises_only_(promises_only),
+  soak_run(const soak_options& options, uint64_t seed)
+      : options_(options),
+        seed_(seed),
         random_(seed),
         restore_random_(seed + 1000003),
-        traffic_(packet_port, target_count, seed),
+        traffic_(options.targets(), load_of(options), seed),
         directory_(fmt::format("/tmp/turmeric-soak-{}-{}", getpid(), seed)) {
     mkdir(directory_.c_str(), 0755);
     store_.put("config", "main", routing_json());
-    for (size_t i = 0; i < target_count; ++i)
+    for (size_t i = 0; i < options_.targets(); ++i)
       store_.put("servers", traffic_.name_of(i), target_json(i, false));
-    for (size_t i = 0; i < balancer_count; ++i) {
-      processes_.push_back(
-          std::make_unique<balancer_process>(daemon, write_settings(i)));
+    for (size_t i = 0; i < options_.balancers; ++i) {
+      processes_.push_back(std::make_unique<balancer_process>(
+          options_.daemon, write_settings(i)));
       processes_.back()->start();
     }
   }
 
   /** @return Whether all guarantees held. */
   bool execute() {
+    if (options_.large() && !await_start()) {
+      fmt::print("BROKEN: a balancer was not ready {} s after the start\n",
+                 start_timeout / us_per_s);
+      return false;
+    }
     const time_us start = boot_now();
-    time_us next_fault = 2 * us_per_s;
+    time_us next_fault = first_fault;
     time_us next_probe = 0;
     soak_counts all_counts;
     soak_counts undisturbed_counts;
     schedule_restore();
-    schedule(undisturbed_drain_time, [this] {
+    if (options_.large())
+      schedule_series();
+    schedule(undisturbed_drain_time(), [this] {
       store_.put("servers", traffic_.name_of(0), target_json(0, true));
       traffic_.set_draining(0, boot_now());
     });
-    while (boot_now() - start < run_duration) {
+    while (boot_now() - start < options_.fault_phase_end + recovery_phase) {
       std::this_thread::sleep_for(loop_interval);
       const time_us now = boot_now() - start;
       if (now >= next_probe) {
         next_probe = now + probe_interval;
         probe_readiness();
       }
-      if (now >= next_fault && now < fault_phase_end) {
+      if (now >= next_fault && now < options_.fault_phase_end) {
         next_fault = now + 200 * us_per_ms +
                      static_cast<time_us>(random_() % (us_per_s));
         inject_fault(now);
@@ -105,11 +153,12 @@
       restart_exited();
       const soak_counts counts = traffic_.take_counts();
       add_counts(&all_counts, counts);
-      if (now >= fault_phase_end + settle_time)
+      if (now >= options_.fault_phase_end + settle_time)
         add_counts(&undisturbed_counts, counts);
     }
-    all_counts.violations.insert(all_counts.violations.end(),
-                                 exit_faults_.begin(), exit_faults_.end());
+    all_counts.violations += exit_faults_.size();
+    all_counts.violation_texts.insert(all_counts.violation_texts.end(),
+                                      exit_faults_.begin(), exit_faults_.end());
     return evaluate(all_counts, undisturbed_counts);
   }
 
@@ -119,8 +168,14 @@
     sum->served += more.served;
     sum->timed_out += more.timed_out;
     sum->reset += more.reset;
-    sum->violations.insert(sum->violations.end(), more.violations.begin(),
-                           more.violations.end());
+    sum->long_opened += more.long_opened;
+    sum->long_requests += more.long_requests;
+    sum->long_lost += more.long_lost;
+    sum->late += more.late;
+    sum->violations += more.violations;
+    sum->violation_texts.insert(sum->violation_texts.end(),
+                                more.violation_texts.begin(),
+                                more.violation_texts.end());
   }
 
   /** Prints the result. @return Whether all guarantees held. */
@@ -131,30 +186,71 @@
             ? 0
             : static_cast<double>(undisturbed_counts.served) /
                   static_cast<double>(undisturbed_counts.opened);
-    const bool held = all_counts.violations.empty() &&
-                      (promises_only_ || served_share >= min_served_share);
+    const bool held =
+        all_counts.violations == 0 &&
+        (options_.promises_only || served_share >= min_served_share);
     fmt::print(
-        "{}: asked {} served {} failed {} refused {}; once calm {:.3f}\n",
+        "{}: asked {} served {} failed {} refused {}; once calm {:.3f}; "
+        "{} long flows, requests on them {}, lost {}; over 200 ms {}; "
+        "exits {}\n",
         held ? "held" : "BROKEN", all_counts.opened, all_counts.served,
-        all_counts.timed_out, all_counts.reset, served_share);
-    for (const auto& violation : all_counts.violations)
+        all_counts.timed_out, all_counts.reset, served_share,
+        all_counts.long_opened, all_counts.long_requests, all_counts.long_lost,
+        all_counts.late, exits_);
+    for (const auto& violation : all_counts.violation_texts)
       fmt::print("  {}\n", violation);
-    if (!held)
+    if (all_counts.violations > all_counts.violation_texts.size())
+      fmt::print("  {} violations in all\n", all_counts.violations);
+    if (held) {
+      std::error_code ignored;
+      std::filesystem::remove_all(directory_, ignored);
+    } else {
       fmt::print("  troubles:{}\n  logs in {}\n", injected_faults_, directory_);
+    }
     return held;
   }
 
+  time_us undisturbed_drain_time() const {
+    return options_.fault_phase_end + undisturbed_drain_delay;
+  }
+
+  /** @return Whether all balancers became ready. */
+  bool await_start() {
+    const time_us end = boot_now() + start_timeout;
+    do {
+      std::this_thread::sleep_for(loop_interval);
+      probe_readiness();
+      restart_exited();
+      if (std::all_of(failed_probes_.begin(), failed_probes_.end(),
+                      [](int failed) { return failed == 0; }))
+        return true;
+    } while (boot_now() < end);
+    return false;
+  }
+
   void restart_exited() {
     for (size_t i = 0; i < processes_.size(); ++i) {
       if (!processes_[i]->has_exited())
         continue;
+      ++exits_;
       const std::string fault = processes_[i]->exit_fault();
       if (!fault.empty())
         exit_faults_.push_back(fmt::format("balancer {} ended: {}", i, fault));
+      traffic_.on_balancer_exit(balancer_address(i, packet_port()));
       processes_[i]->start();
     }
   }
 
+  uint16_t packet_port() const {
+    return static_cast<uint16_t>(first_packet_port + traffic_.port_offset());
+  }
+  uint16_t ready_port() const {
+    return static_cast<uint16_t>(first_ready_port + traffic_.port_offset());
+  }
+  uint16_t peer_port() const {
+    return static_cast<uint16_t>(first_peer_port + traffic_.port_offset());
+  }
+
   std::string routing_json() const {
     return fmt::format(
         R"({{"version":{},"routes":[{{"name":"r","host":"198.18.0.1",)"
@@ -179,29 +275,35 @@
         "[instance]\nmode = forwarding\nname = b{}\nzone = zone-{}\n"
         "cluster = soak\nkey = {:064x}\n[forwarding]\npackets = {}\n"
         "ready = {}\npeers = {}\nseeds = {}\nregistry = 127.0.0.1:{}\n"
-        "grace = 3\n",
-        i, i % 2, 42, to_text(balancer_address(i, packet_port)),
-        to_text(balancer_address(i, ready_port)),
-        to_text(balancer_address(i, peer_port)),
-        to_text(balancer_address(0, peer_port)), store_.port());
+        "grace = {}\n",
+        i, i % 2, 42, to_text(balancer_address(i, packet_port())),
+        to_text(balancer_address(i, ready_port())),
+        to_text(balancer_address(i, peer_port())),
+        to_text(balancer_address(0, peer_port())), store_.port(),
+        stop_grace / us_per_s);
     return path;
   }
 
   /** Probes readiness as routers do: two failed probes in a row take a balancer
    * out of rotation. */
   void probe_readiness() {
+    boost::asio::io_context loop;
+    std::vector<std::unique_ptr<http_client>> clients;
+    std::vector<bool> ready(processes_.size());
+    for (size_t i = 0; i < processes_.size(); ++i) {
+      clients.push_back(std::make_unique<http_client>(
+          loop, balancer_address(i, ready_port())));
+      clients.back()->get("/v1/ready", probe_timeout,
+                          [&ready, i](const http_result& response) {
+                            ready[i] = response.status == 200;
+                          });
+    }
+    loop.run();
     std::vector<endpoint> in_rotation;
-    for (size_t i = 0; i < balancer_count; ++i) {
-      boost::asio::io_context loop;
-      http_client client(loop, balancer_address(i, ready_port));
-      bool ready = false;
-      client.get("/v1/ready", 50 * us_per_ms, [&](const http_result& response) {
-        ready = response.status == 200;
-      });
-      loop.run();
-      failed_probes_[i] = ready ? 0 : failed_probes_[i] + 1;
+    for (size_t i = 0; i < processes_.size(); ++i) {
+      failed_probes_[i] = ready[i] ? 0 : failed_probes_[i] + 1;
       if (failed_probes_[i] < 2)
-        in_rotation.push_back(balancer_address(i, packet_port));
+        in_rotation.push_back(balancer_address(i, packet_port()));
     }
     traffic_.set_balancers(in_rotation);
   }
@@ -212,11 +314,11 @@
   }
 
   /** @return When the last active fault ends, since the start; 0 if none is
-   * active. The drain at undisturbed_drain_time is no fault. */
+   * active. The drain at undisturbed_drain_time() is no fault. */
   time_us last_fault_end() const {
     time_us last = 0;
     for (const auto& [when, action] : scheduled_)
-      last = when < undisturbed_drain_time ? std::max(last, when) : last;
+      last = when < undisturbed_drain_time() ? std::max(last, when) : last;
     return last;
   }
 
@@ -251,12 +353,55 @@
     });
     schedule(back + up_to(us_per_s), [this] {
       store_.put("config", "main", routing_json());
-      for (size_t i = 0; i < target_count; ++i)
+      for (size_t i = 0; i < options_.targets(); ++i)
         store_.put("servers", traffic_.name_of(i),
                    target_json(i, draining_[i]));
     });
   }
 
+  /** Schedules the series of a large fleet. */
+  void schedule_series() {
+    const series_plan plan = draw_series(seed_ + 2000003, processes_.size(),
+                                         first_fault, options_.fault_phase_end);
+    injected_faults_ += plan.description;
+    for (const series_step& step : plan.steps) {
+      schedule(step.at, [this, step] { start_step(step); });
+      if (step.kind == series_kind::pause) {
+        schedule(step.at + step.duration, [this, step] {
+          processes_[step.balancer]->send_signal(SIGCONT);
+        });
+      }
+    }
+  }
+
+  void start_step(const series_step& step) {
+    balancer_process* balancer = processes_[step.balancer].get();
+    switch (step.kind) {
+      case series_kind::restart:
+        balancer->send_signal(SIGTERM);
+        schedule(step.at + stop_grace, [balancer, pid = balancer->pid()] {
+          if (balancer->pid() == pid)
+            balancer->send_signal(SIGKILL);
+        });
+        return;
+      case series_kind::pause:
+        balancer->send_signal(SIGSTOP);
+        return;
+      case series_kind::kill:
+        balancer->send_signal(SIGKILL);
+        return;
+      case series_kind::reload:
+        balancer->send_signal(SIGHUP);
+        return;
+      case series_kind::routing_change:
+        ++routing_version_;
+        store_.put("config", "main", routing_json());
+        return;
+      case series_kind::end:
+        return;
+    }
+  }
+
   /** Draws and starts a fault. Kinds, as printed for a failed run: 0 balancer
    * killed, 1 terminated, 2 paused, 3 settings reloaded, 4 registry refuses, 5
    * registry silent, 6 registry's history discarded and routing changed, 7
@@ -267,7 +412,7 @@
                               static_cast<time_us>(random_() % (2 * us_per_s));
     balancer_process* balancer =
         processes_[random_() % processes_.size()].get();
-    const size_t target = random_() % target_count;
+    const size_t target = random_() % options_.targets();
     const uint64_t fault_kind = random_() % 9;
     injected_faults_ += fmt::format(
         " {:.1f}:{}", static_cast<double>(now) / us_per_s, fault_kind);
@@ -325,7 +470,8 @@
     }
   }
 
-  bool promises_only_;
+  soak_options options_;
+  uint64_t seed_;
   std::mt19937_64 random_;
   std::mt19937_64 restore_random_;
   soak_store store_;
@@ -333,12 +479,13 @@
   std::string directory_;
   std::vector<std::unique_ptr<balancer_process>> processes_;
   std::multimap<time_us, std::function<void()>> scheduled_;
-  std::array<int, balancer_count> failed_probes_{2, 2, 2, 2};
+  std::vector<int> failed_probes_ = std::vector<int>(options_.balancers, 2);
   int routing_version_ = 1;
   bool target_fault_active_ = false;
-  std::array<bool, target_count> draining_{};
-  std::string injected_faults_;
+  std::vector<bool> draining_ = std::vector<bool>(options_.targets());
+  uint64_t exits_ = 0;
   std::vector<std::string> exit_faults_;
+  std::string injected_faults_;
 };
 
 int run_program(int argc, char** argv) {
@@ -347,17 +494,18 @@
                             {"runs", required_argument, nullptr, 'n'},
                             {"minutes", required_argument, nullptr, 'm'},
                             {"promises-only", no_argument, nullptr, 'p'},
+                            {"balancers", required_argument, nullptr, 'b'},
+                            {"fault-seconds", required_argument, nullptr, 'f'},
                             {nullptr, 0, nullptr, 0}};
-  std::string daemon;
+  soak_options chosen;
   uint64_t seed = 1;
   uint64_t runs = 1;
-  bool promises_only = false;
   time_us time_limit = INT64_MAX;
-  for (int c = 0;
-       (c = getopt_long(argc, argv, "d:s:n:m:p", options, nullptr)) != -1;) {
+  for (int c = 0; (c = getopt_long(argc, argv, "d:s:n:m:pb:f:", options,
+                                   nullptr)) != -1;) {
     switch (c) {
       case 'd':
-        daemon = optarg;
+        chosen.daemon = optarg;
         break;
       case 's':
         seed = std::strtoull(optarg, nullptr, 10);
@@ -371,14 +519,23 @@
         runs = UINT64_MAX;
         break;
       case 'p':
-        promises_only = true;
+        chosen.promises_only = true;
+        break;
+      case 'b':
+        chosen.balancers = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'f':
+        chosen.fault_phase_end =
+            static_cast<time_us>(std::strtod(optarg, nullptr) * us_per_s);
         break;
       default:
         fmt::print(stderr, "{}", usage_text);
         return 2;
     }
   }
-  if (daemon.empty()) {
+  if (chosen.daemon.empty() || chosen.balancers < default_balancers ||
+      chosen.balancers > max_balancers ||
+      chosen.fault_phase_end < min_fault_phase_end) {
     fmt::print(stderr, "{}", usage_text);
     return 2;
   }
@@ -387,7 +544,7 @@
   for (uint64_t i = 0; i < runs && boot_now() - start < time_limit; ++i) {
     fmt::print("seed {} ", seed + i);
     std::fflush(stdout);
-    broken_runs += soak_run(daemon, seed + i, promises_only).execute() ? 0 : 1;
+    broken_runs += soak_run(chosen, seed + i).execute() ? 0 : 1;
   }
   fmt::print("{} runs broke a promise\n", broken_runs);
   return broken_runs == 0 ? 0 : 1;
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -103,26 +103,46 @@
 
 /** Results of flows as their callers saw them. */
 struct soak_counts {
-  uint64_t opened = 0;
+  uint64_t opened = 0;     ///< Short flows, also in the next three.
   uint64_t served = 0;     ///< Ended by the target's FIN.
   uint64_t timed_out = 0;  ///< Not ended within 1 s.
   uint64_t reset = 0;
-  std::vector<std::string> violations;  ///< Broken guarantees, in words.
+  uint64_t long_opened = 0;  ///< Long flows that were connected.
+  uint64_t long_requests = 0;
+  uint64_t long_lost = 0;   ///< Reset, or a request without a response.
+  uint64_t late = 0;        ///< Responses after the caller's first copy.
+  uint64_t violations = 0;  ///< Broken guarantees.
+  /** The first violations of a run, in words. */
+  std::vector<std::string> violation_texts;
 };
 
-/** Targets that reply to segments, and callers that open flows, on one
- * thread. */
+/** What callers ask for and how fast targets respond. */
+struct soak_load {
+  time_us open_interval = 0;  ///< Between openings of short flows.
+  size_t long_flows = 0;      ///< Long flows that are open at a time.
+  /** Mean time of a request in a target's slot; 0: responds at once. */
+  time_us service_time = 0;
+};
+
+/** Targets that respond to requests, and callers, on one thread. Callers open
+ * short flows with one request, and long ones with many requests and pauses
+ * between them. Packets of a flow are spread over the balancers in rotation by
+ * `mod`, but those of one in four long flows keep to one balancer until its
+ * process is gone. */
 class soak_traffic {
  public:
-  /** @param port UDP port of balancers and callers.
-   * @param seed Of the sequence numbers that targets choose. */
-  soak_traffic(uint16_t port, size_t targets, uint64_t seed);
+  /** @param seed Of the sequence numbers that targets choose, of pauses and of
+   * service times. */
+  soak_traffic(size_t targets, const soak_load& load, uint64_t seed);
   ~soak_traffic();
 
   /** Sets the balancers in rotation. Segments of callers are spread over them
    * by a flow hash, as routers do. */
   void set_balancers(std::vector<endpoint> in_rotation);
 
+  /** Ends the use of a balancer by flows that keep to it. */
+  void on_balancer_exit(endpoint balancer);
+
   /** Stops or resumes a target's replies. Stopping loses its flows. */
   void set_alive(size_t target, bool alive);
 
@@ -137,50 +157,98 @@
   /** @return Counts since the last call. */
   soak_counts take_counts();
 
+  /** @return How far the ports of this run are above the first ones, which
+   * another soak may use. */
+  uint16_t port_offset() const { return port_offset_; }
   endpoint address_of(size_t target) const { return targets_[target].address; }
   std::string name_of(size_t target) const;
 
  private:
+  /** A flow as its target sees it. */
+  struct target_flow {
+    uint32_t sequence = 0;  ///< Of the next response.
+    uint32_t expected = 0;  ///< Sequence number of the next request.
+    bool busy = false;      ///< A request is queued or in a slot.
+    bool closes = false;    ///< The next response ends the flow.
+    segment last_request;
+  };
   struct target {
     endpoint address;
     file_descriptor socket;
     bool alive = true;
+    time_us silent_until = 0;    ///< End of its last fault (boot_now()).
     time_us draining_since = 0;  ///< 0 if it does not drain.
-    /** Sequence number of the target by flow hash. */
-    std::map<uint64_t, uint32_t> flows;
+    std::vector<time_us> slots;  ///< When each is free.
+    std::map<uint64_t, target_flow> flows;  ///< By flow hash.
   };
   struct flow {
     segment header;
     time_us opened_at = 0;
     time_us last_sent = 0;
+    time_us request_sent = 0;  ///< First copy of the pending request.
+    time_us next_request = 0;
     int retransmissions = 0;
     bool connected = false;
+    bool pending = false;     ///< A request has no response yet.
     size_t target_index = 0;  ///< Target that accepted it, once connected.
+    bool long_lived = false;
+    int requests_left = 1;
+    endpoint balancer;  ///< Keeps to this one; none if its port is 0.
   };
+  using flow_map = std::map<uint64_t, flow>;
 
+  bool bind_callers(uint16_t port_offset);
   void run();
   void process_timers(time_us now);
-  void open_flow(time_us now);
-  void send(const segment& s);
+  void open_flow(time_us now, bool long_lived);
+  /** @return Whether the flow goes on. */
+  bool process_flow(time_us now, flow* f);
+  void send_request(time_us now, flow* f);
+  void send_request_copy(time_us now, flow* f);
+  void send(const flow& f, const segment& s);
   void receive_at_target(size_t index, const uint8_t* data, size_t size);
+  void receive_opening(size_t index, uint64_t key, const segment& s);
+  void receive_request(size_t index, uint64_t key, const segment& s, bool last);
+  void finish_requests(time_us now);
+  void send_response(size_t index, const target_flow& f);
+  void send_from_target(size_t index, const segment& request, segment reply);
   void receive_at_caller(const uint8_t* data, size_t size, endpoint from);
+  void receive_reset(flow_map::iterator it, endpoint from);
+  void receive_response(flow_map::iterator it, const segment& s);
   void record_violation(const std::string& what);
+  std::string describe(const flow& f) const;
+  time_us draw_pause();
+  time_us draw_service_time();
 
+  soak_load load_;
   std::mt19937_64 random_;
-  uint16_t port_;
-  file_descriptor caller_socket_;
+  std::mt19937_64 long_random_;  ///< Of long flows and service times.
+  uint16_t port_offset_ = 0;
+  std::vector<file_descriptor> caller_sockets_;
   std::vector<target> targets_;
   std::mutex mutex_;
   std::vector<endpoint> balancers_;
-  std::map<uint64_t, flow> flows_;
+  flow_map flows_;
+  /** Requests in slots by their end: target and flow hash. */
+  std::multimap<time_us, std::pair<size_t, uint64_t>> work_;
   soak_counts counts_;
+  size_t violations_described_ = 0;
+  size_t open_long_flows_ = 0;
   uint16_t next_port_ = 1024;
   time_us next_open_ = 0;
+  time_us next_long_open_ = 0;
+  time_us next_scan_ = 0;
   time_us undisturbed_since_ = 0;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
 
+/** Lowest ports of the run's sockets; port_offset() is added to each. */
+constexpr uint16_t first_packet_port = 18172;
+constexpr uint16_t first_ready_port = 18167;
+constexpr uint16_t first_peer_port = 17720;
+constexpr uint16_t first_target_port = 18080;
+
 }  // namespace turmeric::tests
 
 #endif  // TURMERIC_TESTS_SOAK_SOAK_SITE_H_
