--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -58,6 +58,7 @@
 constexpr const char* usage_text =
     "Usage: soak --daemon PATH [--seed N] [--runs N] [--minutes M]\n"
     "            [--balancers N] [--fault-seconds S] [--promises-only]\n"
+    "            [--plant reset-open-flow|move-open-flow]\n"
     "\n"
     "Starts balancers on loopback addresses 127.10.0.x, injects faults into\n"
     "them, the registry and targets, and checks what callers and targets\n"
@@ -66,12 +67,24 @@
     "With --balancers above 4 (to 160) there are 3 targets for 2 balancers,\n"
     "targets are loaded and take time, and balancers are restarted in turn,\n"
     "paused and killed in series that overlap. Faults start until S seconds\n"
-    "(8) after the start of a run, which takes 11 s more.\n";
+    "(8) after the start of a run, which takes 11 s more. --plant injects a\n"
+    "fault that the checks must find.\n";
+
+constexpr std::array<std::string_view, static_cast<size_t>(soak_plant::end)>
+    plant_names = {"none", "reset-open-flow", "move-open-flow"};
+
+/** @return soak_plant::end if there is no such name. */
+soak_plant plant_by_name(std::string_view name) {
+  return static_cast<soak_plant>(
+      std::find(plant_names.begin(), plant_names.end(), name) -
+      plant_names.begin());
+}
 
 struct soak_options {
   std::string daemon;
   size_t balancers = default_balancers;
   time_us fault_phase_end = default_fault_phase_end;
+  soak_plant plant = soak_plant::none;
   bool promises_only = false;
 
   bool large() const { return balancers > default_balancers; }
@@ -82,14 +95,15 @@
   constexpr time_us default_open_interval = 5 * us_per_ms;
   constexpr size_t default_long_flows = 24;
   if (!options.large())
-    return {default_open_interval, default_long_flows, 0};
+    return {default_open_interval, default_long_flows, 0, options.plant};
   // The two slots of a target are busy for three quarters of the time, half of
   // it for short flows, so that some requests wait.
   constexpr int64_t openings_per_target = 12;
   constexpr size_t long_flows_per_target = 5;
   const auto targets = static_cast<int64_t>(options.targets());
   return {us_per_s / (openings_per_target * targets),
-          long_flows_per_target * options.targets(), 80 * us_per_ms};
+          long_flows_per_target * options.targets(), 80 * us_per_ms,
+          options.plant};
 }
 
 endpoint balancer_address(size_t i, uint16_t port) {
@@ -496,12 +510,13 @@
                             {"promises-only", no_argument, nullptr, 'p'},
                             {"balancers", required_argument, nullptr, 'b'},
                             {"fault-seconds", required_argument, nullptr, 'f'},
+                            {"plant", required_argument, nullptr, 'x'},
                             {nullptr, 0, nullptr, 0}};
   soak_options chosen;
   uint64_t seed = 1;
   uint64_t runs = 1;
   time_us time_limit = INT64_MAX;
-  for (int c = 0; (c = getopt_long(argc, argv, "d:s:n:m:pb:f:", options,
+  for (int c = 0; (c = getopt_long(argc, argv, "d:s:n:m:pb:f:x:", options,
                                    nullptr)) != -1;) {
     switch (c) {
       case 'd':
@@ -528,6 +543,9 @@
         chosen.fault_phase_end =
             static_cast<time_us>(std::strtod(optarg, nullptr) * us_per_s);
         break;
+      case 'x':
+        chosen.plant = plant_by_name(optarg);
+        break;
       default:
         fmt::print(stderr, "{}", usage_text);
         return 2;
@@ -535,7 +553,8 @@
   }
   if (chosen.daemon.empty() || chosen.balancers < default_balancers ||
       chosen.balancers > max_balancers ||
-      chosen.fault_phase_end < min_fault_phase_end) {
+      chosen.fault_phase_end < min_fault_phase_end ||
+      chosen.plant == soak_plant::end) {
     fmt::print(stderr, "{}", usage_text);
     return 2;
   }
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -116,12 +116,18 @@
   std::vector<std::string> violation_texts;
 };
 
+/** Fault injected to show that the checks find it. `reset_open_flow`: resets of
+ * open flows that their targets did not send; `move_open_flow`: open flows
+ * whose packets name another target. */
+enum class soak_plant { none, reset_open_flow, move_open_flow, end };
+
 /** What callers ask for and how fast targets respond. */
 struct soak_load {
   time_us open_interval = 0;  ///< Between openings of short flows.
   size_t long_flows = 0;      ///< Long flows that are open at a time.
   /** Mean time of a request in a target's slot; 0: responds at once. */
   time_us service_time = 0;
+  soak_plant plant = soak_plant::none;
 };
 
 /** Targets that respond to requests, and callers, on one thread. Callers open
@@ -205,6 +211,7 @@
   bool process_flow(time_us now, flow* f);
   void send_request(time_us now, flow* f);
   void send_request_copy(time_us now, flow* f);
+  void plant_fault(flow* f);
   void send(const flow& f, const segment& s);
   void receive_at_target(size_t index, const uint8_t* data, size_t size);
   void receive_opening(size_t index, uint64_t key, const segment& s);
@@ -233,6 +240,7 @@
   std::multimap<time_us, std::pair<size_t, uint64_t>> work_;
   soak_counts counts_;
   size_t violations_described_ = 0;
+  uint64_t requests_to_plant_ = 0;
   size_t open_long_flows_ = 0;
   uint16_t next_port_ = 1024;
   time_us next_open_ = 0;
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -55,6 +55,8 @@
  * the prefix of the packets that balancers send to it. */
 constexpr uint64_t first_target_number = 0xa0;
 constexpr size_t max_described_violations = 20;
+/** Requests of long flows for each injected fault. */
+constexpr uint64_t plant_interval = 100;
 
 /** @return An invalid descriptor if the address is in use. */
 file_descriptor bind_udp(endpoint e) {
@@ -352,9 +354,39 @@
   f->pending = true;
   f->request_sent = now;
   f->retransmissions = 0;
+  plant_fault(f);
   send_request_copy(now, f);
 }
 
+void soak_traffic::plant_fault(flow* f) {
+  if (load_.plant == soak_plant::none || !f->long_lived ||
+      ++requests_to_plant_ % plant_interval != 0)
+    return;
+  if (load_.plant == soak_plant::move_open_flow) {
+    const auto other =
+        std::find_if(flows_.begin(), flows_.end(), [&](const auto& entry) {
+          return entry.second.connected &&
+                 entry.second.target_index != f->target_index;
+        });
+    if (other != flows_.end())
+      f->header.token = other->second.header.token;
+    return;
+  }
+  segment reset;
+  reset.source = f->header.destination;
+  reset.destination = f->header.source;
+  reset.sequence = f->header.acknowledged;
+  reset.flags.resets = true;
+  const auto packet = encode_segment(reset);
+  const uint32_t caller_ip = f->header.source.ip;
+  const sockaddr_in to = to_sockaddr(
+      {caller_ip, static_cast<uint16_t>(first_packet_port + port_offset_)});
+  sendto(
+      caller_sockets_[(caller_ip + 1 - first_caller_ip) % caller_count].get(),
+      packet.data(), packet.size(), 0, reinterpret_cast<const sockaddr*>(&to),
+      sizeof(to));
+}
+
 void soak_traffic::send_request_copy(time_us now, flow* f) {
   f->last_sent = now;
   segment s = f->header;
