Feature: load of services, full targets and weights of targets, off by default

A full target resets openings; the balancer sees the same as with a dead one, reports it, and after one answer all balancers avoid the target for 2 s as one that restarted. The others fill up in turn. Change: load_monitor learns usual answer times; with overload.full_targets an unanswered opening is reported only when its caller repeats it, or at once while a restart may be unseen and the service is not loaded. With overload.target_weights, slow and failing targets get fewer flows. New kind of setting: flag. Admission and caller shares are declared, not yet defined. With the settings off the choices are the same (test).

--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "turmeric/coordination/overload/load_monitor_base.h"
 #include "turmeric/coordination/placement_base.h"
 #include "turmeric/coordination/traffic_metrics_base.h"
 
@@ -56,6 +57,10 @@
    * retransmitted and unanswered openings and dropped segments are logged for
    * every flow. */
   uint64_t log_one_in = 16;
+  /** Whether peers get no report of an opening that a target may have reset
+   * because it is full; see may_be_full(). */
+  bool detect_full_targets = false;
+  load_monitor_options load;
 };
 
 enum class forwarding_action : uint8_t { drop, forward, reset, end };
@@ -121,9 +126,11 @@
 /** Counters of one balancer. */
 struct forwarding_counters {
   std::array<uint64_t, static_cast<size_t>(forwarding_reason::end)> reasons{};
-  uint64_t unanswered = 0;   ///< Openings left unanswered.
-  uint64_t suspicions = 0;   ///< Times that a target became suspected.
-  uint64_t reports = 0;      ///< Reports on targets by peers.
+  uint64_t unanswered = 0;  ///< Openings left unanswered.
+  uint64_t suspicions = 0;  ///< Times that a target became suspected.
+  uint64_t reports = 0;     ///< Reports on targets by peers.
+  /** Unanswered openings not reported, as the target may be full. */
+  uint64_t reports_withheld = 0;
   uint64_t other_zone = 0;   ///< Openings placed in other zones.
   uint64_t events_lost = 0;  ///< Events discarded: too many pending.
   uint64_t malformed = 0;    ///< Packets that could not be read.
@@ -136,13 +143,17 @@
   uint32_t acknowledged = 0;  ///< By the caller's last segment.
   bool answered = false;
   bool counted_unanswered = false;
-  bool active = false;  ///< Counted as an active flow of its target.
+  bool report_withheld = false;  ///< Peers have no report of the silence.
+  bool active = false;           ///< Counted as an active flow of its target.
   /** The caller has sent bytes that no acknowledgement of an answer followed.
    */
   bool awaits_answer = true;
   bool quiet_check_pending = false;
   bool answered_check_pending = false;
   bool ended = false;  ///< Closed by the caller; its last segments follow.
+  /** When the first segment of the request that awaits its answer came; 0 if
+   * none does or another balancer may have got it. */
+  time_us request_started = 0;
 };
 /** Decides on the segments of one balancer. For the traffic thread only. */
 class forwarding_core {
@@ -245,7 +256,25 @@
   void add_flow(time_us now, const segment& s, flow_token token);
   void end_flow(time_us now, const flow_key& key);
   void set_active(time_us now, flow_state* flow, bool active);
-  void count_unanswered(time_us now, const flow_key& key, flow_state* flow);
+  /** @param repeated Whether the caller has sent a copy of the opening, so that
+   * the target has not refused it. */
+  void count_unanswered(time_us now,
+                        const flow_key& key,
+                        flow_state* flow,
+                        bool repeated);
+  /** @return Whether an opening that @p target left unanswered may have been
+   * reset by it, and its peers need no report. */
+  bool may_be_full(time_us now, const forwarding_target& target) const;
+  /** Measures the time of the request that @p s belongs to or answers. */
+  void time_request(time_us now,
+                    const segment& s,
+                    const forwarding_target& target,
+                    bool acknowledges_more,
+                    flow_state* flow);
+  void end_request(time_us now, flow_state* flow);
+  bool learns_answers() const {
+    return options_.detect_full_targets || options_.placing.learn_weights;
+  }
   /** @param alive_at See placement::on_answer(). */
   void record_answer(time_us now,
                      const flow_key& key,
@@ -277,6 +306,7 @@
   time_us table_since_ = 0;
   time_us drop_openings_until_ = 0;
   latency_histogram answer_times_;
+  load_monitor loads_;
   forwarding_counters counters_;
   std::vector<forwarding_event> events_;
 };
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -0,0 +1,105 @@
+/** @file load_monitor_base.h Learns how long answers usually take and detects
+ * services whose targets let requests queue. */
+#ifndef TURMERIC_COORDINATION_OVERLOAD_LOAD_MONITOR_BASE_H_
+#define TURMERIC_COORDINATION_OVERLOAD_LOAD_MONITOR_BASE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "turmeric/coordination/forwarding_table_base.h"
+
+namespace turmeric {
+
+struct load_monitor_options {
+  /** Answers whose median is one estimate of a route's usual time. */
+  size_t window = 16;
+  /** Share by which the usual time approaches a lower estimate. */
+  double approach = 0.25;
+  /** Growth of the usual time in a second while the estimates are higher. It
+   * doubles in 140 s, so that an overload of a minute does not count as usual,
+   * while work that has become longer does after some minutes. */
+  double growth = 0.005;
+  /** An answer is delayed if it takes this many times the usual time: the
+   * request has waited for about two others. */
+  double delayed_ratio = 2.0;
+  /** Answers of a service by which its load is judged; at most 64. */
+  uint32_t recent = 32;
+  /** Share of delayed answers from which targets of a service may be full. A
+   * few slow targets, or lost packets, delay fewer. */
+  double queueing_share = 0.25;
+  /** Share of delayed answers from which all targets of a service queue. */
+  double saturated_share = 0.75;
+  /** The load is unknown if the last answer is older than this. */
+  time_us max_age = us_per_s;
+};
+
+/** Load of a service, as shown by its answers. */
+enum class service_load : uint8_t {
+  normal,     ///< Also if it is unknown.
+  queueing,   ///< Requests wait at some of its targets.
+  saturated,  ///< Requests wait at nearly all of its targets.
+  end
+};
+
+/** @return The name of @p load in logs and metrics. */
+std::string_view name_of(service_load load);
+
+/** Times from requests to the first parts of their answers, as seen by one
+ * balancer. */
+class load_monitor {
+ public:
+  explicit load_monitor(load_monitor_options options) : options_(options) {}
+
+  /** Records an answer on @p route of @p service.
+   * @return Its time in units of the usual time of the route; 0 while that is
+   * unknown. */
+  double add(time_us now,
+             const std::string& service,
+             const endpoint& route,
+             time_us took);
+
+  /** @return The share of delayed answers among the recent ones, 0 if too few
+   * or none are recent. */
+  double delayed_share(time_us now, const std::string& service) const;
+
+  service_load load(time_us now, const std::string& service) const;
+
+  /** @return The usual time of @p route, or 0 if it is unknown. */
+  time_us usual(const endpoint& route) const;
+
+  /** Removes what is known about routes that are not in @p table. */
+  void retain(const forwarding_table& table);
+
+ private:
+  struct endpoint_hash {
+    size_t operator()(const endpoint& e) const {
+      return (static_cast<size_t>(e.ip) << 16) | e.port;
+    }
+  };
+
+  struct route_times {
+    std::vector<time_us> window;
+    time_us usual = 0;
+    time_us updated = 0;  ///< Last estimate.
+  };
+
+  void add_estimate(time_us now, time_us median, route_times* times) const;
+
+  struct service_answers {
+    uint64_t delayed = 0;  ///< One bit per recent answer.
+    uint32_t count = 0;    ///< Recent answers, up to `recent`.
+    time_us last = 0;
+  };
+
+  load_monitor_options options_;
+  std::unordered_map<endpoint, route_times, endpoint_hash> routes_;
+  std::unordered_map<std::string, service_answers> services_;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_OVERLOAD_LOAD_MONITOR_BASE_H_
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "turmeric/coordination/forwarding_table_base.h"
+#include "turmeric/coordination/overload/target_weights_base.h"
 #include "turmeric/state/target_report_type.h"
 
 namespace turmeric {
@@ -89,6 +90,9 @@
   double cold_slack = 5.0;
   /** Factor on the rate of a cold target; `cold_overage` of the platform. */
   double cold_overage = 1.5;
+  /** Whether targets that answer slower than others get fewer new flows. */
+  bool learn_weights = false;
+  target_weight_options weights;
 };
 
 /** How a flow was placed, for the log. */
@@ -131,10 +135,37 @@
   bool ends_silence(flow_token token, time_us alive_at) const;
 
   /** Records that the target left an opening unanswered.
-   * @param opened When the opening was sent. */
+   * @param opened When the opening was sent.
+   * @param report Whether to report it to peers; else report_silence() may
+   * follow. */
   void on_unanswered(time_us now,
                      const forwarding_target& target,
-                     time_us opened);
+                     time_us opened,
+                     bool report = true);
+
+  /** Reports an unanswered opening to peers that on_unanswered() did not. */
+  void report_silence(time_us now,
+                      const forwarding_target& target,
+                      time_us opened);
+
+  /** Records the answer to a request. @param ratio See load_monitor::add(). */
+  void on_request_answered(time_us now,
+                           const forwarding_target& target,
+                           double ratio) {
+    if (options_.learn_weights)
+      weights_.add_answer(now, target, ratio);
+  }
+
+  /** Records that a request was left unanswered. */
+  void on_request_failed(time_us now, const forwarding_target& target) {
+    if (options_.learn_weights)
+      weights_.add_failure(now, target);
+  }
+
+  /** @return The target's share of new flows; see target_weights. */
+  double weight(time_us now, const forwarding_target& target) const {
+    return options_.learn_weights ? weights_.weight(now, target) : 1.0;
+  }
 
   /** Starts `startup_grace`; called with the first table. */
   void on_first_table(time_us now) {
@@ -179,10 +210,18 @@
   /** Removes the state of targets that are not in @p table. */
   void retain(const forwarding_table& table);
 
+  /** @return Whether the entry of a restarted target may not show yet that it
+   * is cold: the registry is lost, or, as zones are silent, may be lost without
+   * a failed call so far. */
+  bool restarts_may_be_unseen() const {
+    return registry_lost_ || !silent_zones_.empty();
+  }
+
  private:
   struct target_state {
     uint32_t active_flows = 0;
-    uint32_t failures = 0;  ///< Unanswered openings since the last answer.
+    uint32_t failures = 0;    ///< Unanswered openings since the last answer.
+    uint32_t unreported = 0;  ///< Those of them that peers have no report of.
     time_us suspected_until = 0;
     /** When the newest unanswered opening was sent, own or reported. */
     time_us silent_since = 0;
@@ -225,7 +264,13 @@
   bool owns_slot(const forwarding_target& target,
                  const std::vector<uint64_t>& others) const;
   bool zone_suspected(time_us now, const std::string& zone) const;
-  double cost_of(time_us now, const forwarding_target& target) const;
+  /** @return Whether this balancer uses the target rather than others of equal
+   * load, so that balancers choose different ones. */
+  bool prefers(time_us now, const forwarding_target& target) const;
+  double cost_of(time_us now,
+                 const forwarding_target& target,
+                 bool preferred,
+                 double weight) const;
   double health_cost(time_us now, const target_state& state) const;
   /** @return The cost of a recovering target that was probably not down. It
    * falls with the share of such targets: after a cut path they are the most,
@@ -234,6 +279,14 @@
       time_us now,
       const std::vector<const forwarding_target*>& candidates) const;
   bool silence_confirmed(const target_state& state) const;
+  /** Reports an unanswered opening at the target unless peers would draw wrong
+   * conclusions from it. */
+  void add_silence_report(time_us now,
+                          const forwarding_target& target,
+                          time_us opened,
+                          time_us left);
+  /** @return True with this probability. */
+  bool drawn(double probability) const;
   void penalize_recovery(time_us now,
                          time_us duration,
                          bool was_down,
@@ -244,12 +297,6 @@
                   time_us age,
                   time_us left,
                   uint32_t failures);
-  /** @return Whether the entry of a restarted target may not show yet that it
-   * is cold: the registry is lost, or, as zones are silent, may be lost without
-   * a failed call so far. */
-  bool restarts_may_be_unseen() const {
-    return registry_lost_ || !silent_zones_.empty();
-  }
   bool is_cold(time_us now, const forwarding_target& target) const;
   bool cold_allowed(time_us now, const forwarding_target& target);
   bool owns_cold_target(flow_token token) const;
@@ -266,6 +313,7 @@
 
   placement_options options_;
   random_source random_;
+  target_weights weights_;
   uint64_t self_ = 0;
   std::vector<uint64_t> others_;
   std::unordered_map<flow_token, target_state> targets_;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -62,7 +62,8 @@
                                  random_source random)
     : options_(options),
       placement_(options.placing, std::move(random)),
-      answer_times_(make_latency_histogram()) {}
+      answer_times_(make_latency_histogram()),
+      loads_(options.load) {}
 
 void forwarding_core::set_table(time_us now,
                                 std::shared_ptr<const forwarding_table> table) {
@@ -71,6 +72,7 @@
   table_ = std::move(table);
   table_since_ = now;
   placement_.retain(*table_);
+  loads_.retain(*table_);
 }
 
 void forwarding_core::set_balancers(uint64_t self,
@@ -183,7 +185,7 @@
             forwarding_reason::repeated,
             first_target,
             {}};
-  count_unanswered(now, key_of(s), flow);
+  count_unanswered(now, key_of(s), flow, true);
   const flow_token avoid = flow->token;
   const std::string service =
       serves_route ? first_target->entry.service : service_of(route, key_of(s));
@@ -264,6 +266,8 @@
   if (!flow.answered && is_logged(key))
     add_event(now, forwarding_event_kind::answered, key, target.token);
   const bool acknowledges_more = is_later(s.acknowledged, flow.acknowledged);
+  if (learns_answers())
+    time_request(now, s, target, acknowledges_more, &flow);
   if (!flow.answered || acknowledges_more) {
     record_answer(now, key, target, flow.last_segment);
     flow.acknowledged = s.acknowledged;
@@ -289,6 +293,33 @@
     answered_checks_.push_back({now + options_.answered_timeout, key});
 }
 
+void forwarding_core::time_request(time_us now,
+                                   const segment& s,
+                                   const forwarding_target& target,
+                                   bool acknowledges_more,
+                                   flow_state* flow) {
+  // The first segment after the opening acknowledges the handshake.
+  const bool answers = flow->answered && acknowledges_more;
+  if (answers && flow->request_started != 0) {
+    const time_us took = now - std::exchange(flow->request_started, 0);
+    const double ratio =
+        loads_.add(now, target.entry.service, s.destination, took);
+    placement_.on_request_answered(now, target, ratio);
+  }
+  const bool closes = s.flags.finishes || s.flags.resets;
+  if (s.data_bytes != 0 && flow->request_started == 0)
+    flow->request_started = now;
+  else if (closes)
+    end_request(now, flow);
+}
+
+void forwarding_core::end_request(time_us now, flow_state* flow) {
+  if (std::exchange(flow->request_started, 0) == 0)
+    return;
+  if (const auto* target = table_->target_of(flow->token))
+    placement_.on_request_failed(now, *target);
+}
+
 void forwarding_core::record_answer(time_us now,
                                     const flow_key& key,
                                     const forwarding_target& target,
@@ -372,17 +403,41 @@
 
 void forwarding_core::count_unanswered(time_us now,
                                        const flow_key& key,
-                                       flow_state* flow) {
-  if (flow->answered || flow->counted_unanswered)
+                                       flow_state* flow,
+                                       bool repeated) {
+  if (flow->answered)
     return;
+  const forwarding_target* target = table_->target_of(flow->token);
+  if (flow->counted_unanswered) {
+    if (repeated && std::exchange(flow->report_withheld, false) &&
+        target != nullptr)
+      placement_.report_silence(now, *target, flow->opened);
+    return;
+  }
   flow->counted_unanswered = true;
   ++counters_.unanswered;
-  if (const auto* target = table_->target_of(flow->token))
-    placement_.on_unanswered(now, *target, flow->opened);
+  flow->report_withheld =
+      !repeated && target != nullptr && may_be_full(now, *target);
+  counters_.reports_withheld += flow->report_withheld ? 1 : 0;
+  if (target != nullptr) {
+    placement_.on_unanswered(now, *target, flow->opened,
+                             !flow->report_withheld);
+  }
   counters_.suspicions += placement_.failures(flow->token) == 1 ? 1 : 0;
   add_event(now, forwarding_event_kind::opening_unanswered, key, flow->token);
 }
 
+bool forwarding_core::may_be_full(time_us now,
+                                  const forwarding_target& target) const {
+  // A full target resets openings, which a balancer does not see. Reports of
+  // it made all balancers avoid the target, and the others filled up in turn.
+  // Reports protect targets that restarted without a new entry; under load,
+  // each balancer detects these by itself.
+  return options_.detect_full_targets &&
+         (!placement_.restarts_may_be_unseen() ||
+          loads_.load(now, target.entry.service) != service_load::normal);
+}
+
 void forwarding_core::end_flow(time_us now, const flow_key& key) {
   const auto it = flows_.find(key);
   if (it == flows_.end())
@@ -405,7 +460,7 @@
     const auto it = flows_.find(due_check.key);
     if (it != flows_.end() &&
         it->second.opened <= due_check.due - options_.answer_timeout)
-      count_unanswered(now, due_check.key, &it->second);
+      count_unanswered(now, due_check.key, &it->second, false);
   }
 }
 
@@ -442,6 +497,7 @@
       continue;
     }
     it->second.quiet_check_pending = false;
+    end_request(now, &it->second);
     set_active(now, &it->second, false);
     idle_checks_.push_back({now + options_.flow_idle_timeout, due_check.key});
   }
--- /dev/null
+++ b/packages/coordination/src/overload/load_monitor.cpp
@@ -0,0 +1,99 @@
+/** @file load_monitor.cpp Usual answer times of routes and load of services. */
+#include "turmeric/coordination/overload/load_monitor_base.h"
+
+#include <algorithm>
+#include <array>
+#include <bitset>
+
+namespace turmeric {
+namespace {
+
+constexpr std::array<std::string_view, static_cast<size_t>(service_load::end)>
+    load_names = {"normal", "queueing", "saturated"};
+
+}  // namespace
+
+std::string_view name_of(service_load load) {
+  return load_names[static_cast<size_t>(load)];
+}
+
+void load_monitor::add_estimate(time_us now,
+                                time_us median,
+                                route_times* times) const {
+  const double usual = static_cast<double>(times->usual);
+  const double change = static_cast<double>(median) - usual;
+  const double elapsed_s = static_cast<double>(now - times->updated) / us_per_s;
+  if (times->usual == 0)
+    times->usual = median;
+  else if (change < 0)
+    times->usual = static_cast<time_us>(usual + options_.approach * change);
+  else
+    times->usual = static_cast<time_us>(
+        usual + std::min(change, usual * options_.growth * elapsed_s));
+  times->updated = now;
+}
+
+double load_monitor::add(time_us now,
+                         const std::string& service,
+                         const endpoint& route,
+                         time_us took) {
+  route_times& times = routes_[route];
+  const double ratio = times.usual == 0 ? 0.0
+                                        : static_cast<double>(took) /
+                                              static_cast<double>(times.usual);
+  times.window.push_back(took);
+  if (times.window.size() >= options_.window) {
+    const auto middle =
+        times.window.begin() + static_cast<long>(times.window.size() / 2);
+    std::nth_element(times.window.begin(), middle, times.window.end());
+    add_estimate(now, std::max<time_us>(*middle, 1), &times);
+    times.window.clear();
+  }
+  if (ratio == 0.0)
+    return ratio;
+  service_answers& answers = services_[service];
+  const bool stale = now - answers.last > options_.max_age;
+  answers.count = stale ? 1 : std::min(answers.count + 1, options_.recent);
+  answers.delayed = (stale ? 0 : answers.delayed << 1) |
+                    (ratio >= options_.delayed_ratio ? 1 : 0);
+  answers.last = now;
+  return ratio;
+}
+
+double load_monitor::delayed_share(time_us now,
+                                   const std::string& service) const {
+  const auto it = services_.find(service);
+  if (it == services_.end() || it->second.count < options_.recent ||
+      now - it->second.last > options_.max_age)
+    return 0.0;
+  const uint64_t considered = options_.recent >= 64
+                                  ? ~uint64_t{0}
+                                  : (uint64_t{1} << options_.recent) - 1;
+  return static_cast<double>(
+             std::bitset<64>(it->second.delayed & considered).count()) /
+         options_.recent;
+}
+
+service_load load_monitor::load(time_us now, const std::string& service) const {
+  const double share = delayed_share(now, service);
+  if (share >= options_.saturated_share)
+    return service_load::saturated;
+  return share >= options_.queueing_share ? service_load::queueing
+                                          : service_load::normal;
+}
+
+time_us load_monitor::usual(const endpoint& route) const {
+  const auto it = routes_.find(route);
+  return it == routes_.end() ? 0 : it->second.usual;
+}
+
+void load_monitor::retain(const forwarding_table& table) {
+  for (auto it = routes_.begin(); it != routes_.end();) {
+    if (table.route_at(it->first) == nullptr)
+      it = routes_.erase(it);
+    else
+      ++it;
+  }
+}
+
+}  // namespace turmeric
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -25,17 +25,26 @@
 }  // namespace
 
 placement::placement(placement_options options, random_source random)
-    : options_(std::move(options)), random_(std::move(random)) {}
+    : options_(std::move(options)),
+      random_(std::move(random)),
+      weights_(options_.weights) {}
 
-double placement::cost_of(time_us now, const forwarding_target& target) const {
-  const bool own_zone = target.entry.zone == options_.zone;
-  double cost = own_zone ? 0.0 : other_zone_cost_;
+bool placement::prefers(time_us now, const forwarding_target& target) const {
   // While the own zone has room, its targets are divided among its balancers
   // only; beyond that all targets are divided among all balancers.
   const bool in_zone_only = other_zone_cost_ > 0;
-  if (!zone_restarts_unknown(now, target.entry.zone) &&
-      (own_zone || !in_zone_only) &&
-      owns_slot(target, in_zone_only ? zone_others_ : others_))
+  const bool own_zone = target.entry.zone == options_.zone;
+  return !zone_restarts_unknown(now, target.entry.zone) &&
+         (own_zone || !in_zone_only) &&
+         owns_slot(target, in_zone_only ? zone_others_ : others_);
+}
+
+double placement::cost_of(time_us now,
+                          const forwarding_target& target,
+                          bool preferred,
+                          double weight) const {
+  double cost = target.entry.zone == options_.zone ? 0.0 : other_zone_cost_;
+  if (preferred)
     cost -= options_.slot_owner_discount;
   if (zone_suspected(now, target.entry.zone))
     cost += options_.unreachable_zone_cost;
@@ -43,7 +52,8 @@
   if (it == targets_.end())
     return cost;
   const target_state& state = it->second;
-  cost += static_cast<double>(state.active_flows) / target.entry.slots;
+  cost +=
+      static_cast<double>(state.active_flows) / (target.entry.slots * weight);
   return cost + health_cost(now, state);
 }
 
@@ -113,6 +123,7 @@
     double* cost) {
   const forwarding_target* best = nullptr;
   uint64_t ties = 0;
+  double tied_weight = 0.0;
   *cost = std::numeric_limits<double>::infinity();
   for (const auto* target : candidates) {
     if (now >= target->eligible_until || target->token == avoid)
@@ -121,12 +132,22 @@
       continue;
     if (cold && !cold_allowed(now, *target))
       continue;
-    const double target_cost = cost_of(now, *target);
+    const double target_weight = weight(now, *target);
+    // A slow target is preferred for its share of the flows, so that among
+    // preferred ones the weight has no further effect.
+    const bool preferred =
+        prefers(now, *target) && (target_weight >= 1.0 || drawn(target_weight));
+    const double draw_weight = preferred ? 1.0 : target_weight;
+    const double target_cost = cost_of(now, *target, preferred, target_weight);
     if (target_cost > *cost)
       continue;
-    ties = target_cost < *cost ? 1 : ties + 1;
+    const bool cheaper = target_cost < *cost;
+    ties = cheaper ? 1 : ties + 1;
+    tied_weight = (cheaper ? 0.0 : tied_weight) + draw_weight;
     *cost = target_cost;
-    if (ties == 1 || random_() % ties == 0)
+    const bool equal = tied_weight == static_cast<double>(ties);
+    if (ties == 1 ||
+        (equal ? random_() % ties == 0 : drawn(draw_weight / tied_weight)))
       best = target;
   }
   return best;
@@ -321,7 +342,7 @@
     zone.restarts_unknown_until = now + options_.recovering_time;
     for (const flow_token token : zone.silent) {
       target_state& other = targets_[token];
-      other.failures = 0;
+      other.failures = other.unreported = 0;
       other.probing = false;
     }
   }
@@ -330,24 +351,29 @@
   // While the registry is lost, the entry may not show that a restarted target
   // is cold, so any unanswered opening may mean a restart.
   const bool was_down = silence_confirmed(state) || registry_lost_;
+  const bool reported =
+      state.unreported < state.failures || state.peer_failures != 0;
   if (silence_confirmed(state) && restarts_may_be_unseen())
     state.presumed_cold_until = now + options_.recovering_time;
   if (state.failures + state.peer_failures != 0) {
     penalize_recovery(now, options_.recovering_time,
                       was_down || state.failures >= options_.down_failures,
                       &state);
-    add_report(target, target_observation::recovered, 0,
-               options_.recovering_time, was_down ? 1 : 0);
+    if (reported) {
+      add_report(target, target_observation::recovered, 0,
+                 options_.recovering_time, was_down ? 1 : 0);
+    }
   }
   state.last_answer = now;
-  state.failures = state.peer_failures = 0;
+  state.failures = state.unreported = state.peer_failures = 0;
   state.suspected_until = state.peer_suspected_until = state.silent_since = 0;
   state.probing = false;
 }
 
 void placement::on_unanswered(time_us now,
                               const forwarding_target& target,
-                              time_us opened) {
+                              time_us opened,
+                              bool report) {
   zone_state& zone = zones_[target.entry.zone];
   if (zone.last_answer < opened) {
     zone.silent.insert(target.token);
@@ -362,9 +388,28 @@
   const time_us duration = std::min(options_.suspicion_time << doublings,
                                     options_.max_suspicion_time);
   state.suspected_until = now + duration;
+  if (report)
+    add_silence_report(now, target, opened, duration);
+  else
+    ++state.unreported;
+}
+
+void placement::report_silence(time_us now,
+                               const forwarding_target& target,
+                               time_us opened) {
+  target_state& state = targets_[target.token];
+  if (state.unreported != 0)
+    --state.unreported;
+  add_silence_report(now, target, opened, options_.suspicion_time);
+}
+
+void placement::add_silence_report(time_us now,
+                                   const forwarding_target& target,
+                                   time_us opened,
+                                   time_us left) {
   // A cut path is not reported: peers reach the zone by paths of their own.
   if (now >= reports_from_ && !zone_suspected(now, target.entry.zone))
-    add_report(target, target_observation::silent, now - opened, duration, 1);
+    add_report(target, target_observation::silent, now - opened, left, 1);
 }
 
 void placement::on_report(time_us now,
@@ -376,7 +421,7 @@
   if (report.observation == target_observation::recovered) {
     if (silence_confirmed(state) && restarts_may_be_unseen())
       state.presumed_cold_until = now + remaining;
-    state.failures = state.peer_failures = 0;
+    state.failures = state.unreported = state.peer_failures = 0;
     state.suspected_until = state.peer_suspected_until = state.silent_since = 0;
     state.probing = false;
     penalize_recovery(now, remaining, report.failures != 0, &state);
@@ -407,7 +452,14 @@
   return it == targets_.end() ? 0 : it->second.failures;
 }
 
+bool placement::drawn(double probability) const {
+  constexpr uint64_t steps = uint64_t{1} << 32;
+  return random_() % steps <
+         static_cast<uint64_t>(probability * static_cast<double>(steps));
+}
+
 void placement::retain(const forwarding_table& table) {
+  weights_.retain(table);
   for (auto it = targets_.begin(); it != targets_.end();) {
     if (table.target_of(it->first) == nullptr)
       it = targets_.erase(it);
--- a/packages/state/include/turmeric/state/settings_base.h
+++ b/packages/state/include/turmeric/state/settings_base.h
@@ -23,7 +23,8 @@
   end
 };
 
-enum class setting_kind { text, number, decimal };
+/** The value of a flag is `true` or `false`. */
+enum class setting_kind { text, number, decimal, flag };
 
 struct setting_row {
   setting id;
@@ -32,8 +33,8 @@
   setting_kind kind;
   std::string_view unit;
   std::string_view default_value;
-  int64_t min;  ///< Smallest number, or shortest text in bytes.
-  int64_t max;  ///< Largest number, or longest text in bytes.
+  int64_t min;  ///< Smallest number, or shortest text in bytes; 0 for flags.
+  int64_t max;  ///< Largest number, or longest text in bytes; 0 for flags.
   std::string_view description;
 };
 
@@ -62,11 +63,14 @@
   /** In the unit of its table row. @pre The kind is decimal. */
   double decimal(setting id) const;
 
+  /** @pre The kind is flag. */
+  bool flag(setting id) const { return text(id) == "true"; }
+
   /** @pre The kind is number and the unit is ms. */
   time_us duration(setting id) const { return number(id) * us_per_ms; }
 
   /** @return `setting_out_of_range` if a required text, which has no default,
-   * was not set. */
+   * was not set, `setting_conflict` if two settings contradict each other. */
   result<void> check_complete() const;
 
  private:
--- a/packages/state/include/turmeric/state/table/result_codes.h
+++ b/packages/state/include/turmeric/state/table/result_codes.h
@@ -23,6 +23,10 @@
                 15,
                 false,
                 "The change does not fit one datagram; split the account.")
+TURMERIC_RESULT(setting_conflict,
+                16,
+                false,
+                "Two settings contradict each other.")
 TURMERIC_RESULT(conflict,
                 20,
                 false,
--- a/packages/state/include/turmeric/state/table/settings.h
+++ b/packages/state/include/turmeric/state/table/settings.h
@@ -2,7 +2,7 @@
  *
  * Columns: section, name, kind, unit, default, minimum, maximum, description.
  * Minimum and maximum bound the value of numbers and the length in bytes of
- * texts. A text whose default is shorter than its minimum is required.
+ * texts; they are 0 for flags. A text whose default is shorter than its minimum is required.
  */
 TURMERIC_SETTING(instance,
                  name,
@@ -276,6 +276,46 @@
                  0,
                  1000,
                  "New flows a second for a cold target beyond that bound.")
+TURMERIC_SETTING(overload,
+                 full_targets,
+                 flag,
+                 "",
+                 "false",
+                 0,
+                 0,
+                 "Do not report targets to peers that may only be full.")
+TURMERIC_SETTING(overload,
+                 target_weights,
+                 flag,
+                 "",
+                 "false",
+                 0,
+                 0,
+                 "Give slow and failing targets fewer new flows.")
+TURMERIC_SETTING(overload,
+                 admission,
+                 flag,
+                 "",
+                 "false",
+                 0,
+                 0,
+                 "Hold or refuse openings while a service is saturated.")
+TURMERIC_SETTING(overload,
+                 max_wait,
+                 number,
+                 "ms",
+                 "50",
+                 0,
+                 140,
+                 "Longest wait of an opening; callers resend after 200 ms.")
+TURMERIC_SETTING(overload,
+                 caller_shares,
+                 flag,
+                 "",
+                 "false",
+                 0,
+                 0,
+                 "Hold callers over their fair share before others.")
 TURMERIC_SETTING(log,
                  one_in,
                  number,
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -49,7 +49,21 @@
   return is_number;
 }
 
+/** @return The allowed values of @p row, for the help text. */
+std::string range_of(const setting_row& row) {
+  return row.kind == setting_kind::flag
+             ? "true or false"
+             : fmt::format("{}..{}", row.min, row.max);
+}
+
 result<void> check_value(const setting_row& row, const std::string& value) {
+  if (row.kind == setting_kind::flag) {
+    if (value == "true" || value == "false")
+      return boost::outcome_v2::success();
+    return fail(result_code::setting_out_of_range,
+                fmt::format("{}.{} is '{}', expected true or false",
+                            row.section, row.name, value));
+  }
   double quantity = 0;
   const bool is_numeric = row.kind != setting_kind::text;
   if (!bounded_quantity_of(row, value, &quantity)) {
@@ -130,6 +144,12 @@
     if (!checked)
       return checked;
   }
+  if (flag(setting::overload_caller_shares) &&
+      !flag(setting::overload_admission)) {
+    return fail(result_code::setting_conflict,
+                "overload.caller_shares is 'true', expected 'false' unless "
+                "overload.admission is 'true'");
+  }
   return boost::outcome_v2::success();
 }
 
@@ -159,8 +179,8 @@
 std::string settings_help() {
   std::string out;
   for (const auto& row : setting_table()) {
-    out += fmt::format("{}.{} [{}] default '{}', {}..{}\n    {}\n", row.section,
-                       row.name, row.unit, row.default_value, row.min, row.max,
+    out += fmt::format("{}.{} [{}] default '{}', {}\n    {}\n", row.section,
+                       row.name, row.unit, row.default_value, range_of(row),
                        row.description);
   }
   return out;
@@ -172,8 +192,11 @@
       "| section | name | unit | default | minimum | maximum | meaning |\n"
       "| --- | --- | --- | --- | --- | --- | --- |\n";
   for (const auto& row : setting_table()) {
+    const bool flag = row.kind == setting_kind::flag;
     out += fmt::format("| {} | {} | {} | {} | {} | {} | {} |\n", row.section,
-                       row.name, row.unit, row.default_value, row.min, row.max,
+                       row.name, row.unit, row.default_value,
+                       flag ? "false" : fmt::format("{}", row.min),
+                       flag ? "true" : fmt::format("{}", row.max),
                        row.description);
   }
   return out;
--- a/packages/transport/src/forwarding/forwarder_settings.cpp
+++ b/packages/transport/src/forwarding/forwarder_settings.cpp
@@ -74,6 +74,8 @@
   o.placing.zone = s.text(setting::instance_zone);
   o.placing.cold_overage = s.decimal(setting::forwarding_cold_overage);
   o.placing.cold_slack = s.decimal(setting::forwarding_cold_slack);
+  o.detect_full_targets = s.flag(setting::overload_full_targets);
+  o.placing.learn_weights = s.flag(setting::overload_target_weights);
   return o;
 }
 
--- a/tests/unit/forwarding_fixture.h
+++ b/tests/unit/forwarding_fixture.h
@@ -53,8 +53,10 @@
 /** The forwarding core of a balancer in zone "north", with helpers that send
  * callers' segments. */
 struct forwarding_fixture {
-  explicit forwarding_fixture(const table_builder& builder, uint64_t seed = 1)
-      : core(options(), seeded_random(seed)) {
+  explicit forwarding_fixture(const table_builder& builder,
+                              uint64_t seed = 1,
+                              const forwarding_options& chosen = options())
+      : core(chosen, seeded_random(seed)) {
     core.set_table(now, builder.table());
   }
 
@@ -79,6 +81,26 @@
     return core.on_segment(now, s);
   }
 
+  /** Sends the copy with this number of the opening of a flow. */
+  forwarding_decision repeat_opening(uint16_t port, uint32_t copy) {
+    segment s = segment_from(port);
+    s.flags.opens = true;
+    s.acknowledged = copy;
+    return core.on_segment(now, s);
+  }
+
+  /** Sends the data of a request after @p received bytes of the target. */
+  forwarding_decision send_request(uint16_t port,
+                                   flow_token token,
+                                   uint32_t received) {
+    segment s = segment_from(port);
+    s.flags.acknowledges = true;
+    s.token = token;
+    s.acknowledged = received;
+    s.data_bytes = 100;
+    return core.on_segment(now, s);
+  }
+
   /** Sends a segment of an open flow. */
   forwarding_decision send_segment(uint16_t port,
                                    flow_token token,
--- /dev/null
+++ b/tests/unit/overload_test.cpp
@@ -0,0 +1,313 @@
+/** @file overload_test.cpp Load of services, full targets and weights. */
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "forwarding_fixture.h"
+
+namespace turmeric {
+namespace {
+
+const load_monitor_options defaults;
+
+/** Adds @p count answers that take @p took, 1 ms apart. */
+void add_answers(load_monitor* monitor, time_us* now, int count, time_us took) {
+  for (int i = 0; i < count; ++i)
+    monitor->add(*now += us_per_ms, "notes", route_address, took);
+}
+
+forwarding_options full_target_options() {
+  forwarding_options o = forwarding_fixture::options();
+  o.detect_full_targets = true;
+  return o;
+}
+
+/** A balancer that has learned the usual answer time and may report. */
+struct learned_fixture : forwarding_fixture {
+  learned_fixture(const table_builder& builder,
+                  const forwarding_options& options)
+      : forwarding_fixture(builder, 1, options) {
+    wait(2 * us_per_s);
+    serve(64, 20 * us_per_ms);
+  }
+
+  /** Serves flows that are answered @p took after their requests. */
+  void serve(int flows, time_us took) {
+    for (int i = 0; i < flows; ++i) {
+      const auto opened = open_flow(++port);
+      wait(us_per_ms);
+      send_request(port, opened.target->token, 1);
+      wait(took);
+      send_segment(port, opened.target->token, 600, true);
+    }
+  }
+
+  uint16_t port = 2000;
+};
+
+/** Records @p answers of each target, which take @p ratios of the usual time.
+ */
+void add_answers(target_weights* weights,
+                 time_us* now,
+                 const std::vector<forwarding_target>& targets,
+                 const std::vector<double>& ratios,
+                 int answers) {
+  for (int i = 0; i < answers; ++i) {
+    for (size_t t = 0; t < targets.size(); ++t)
+      weights->add_answer(*now += us_per_ms, targets[t], ratios[t]);
+  }
+}
+
+std::vector<forwarding_target> make_targets(size_t count) {
+  std::vector<forwarding_target> out(count);
+  for (size_t i = 0; i < count; ++i) {
+    out[i].token = static_cast<flow_token>(i + 1);
+    out[i].entry.service = "notes";
+  }
+  return out;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(overload_suite)
+
+struct load_row {
+  const char* name;
+  int prompt;   ///< Answers in the usual time.
+  int delayed;  ///< Later answers that take three times as long.
+  time_us since_last;
+  service_load expected;
+};
+
+// Guards against a load that is judged from too few or too old answers.
+BOOST_AUTO_TEST_CASE(load_follows_the_share_of_delayed_answers) {
+  const load_row rows[] = {
+      {"nothing learned", 0, 0, 0, service_load::normal},
+      {"usual time not yet known", 0, 15, 0, service_load::normal},
+      {"too few answers since", 24, 8, 0, service_load::normal},
+      {"all prompt", 64, 0, 0, service_load::normal},
+      {"a fifth delayed", 64, 7, 0, service_load::normal},
+      {"a quarter delayed", 64, 8, 0, service_load::queueing},
+      {"two thirds delayed", 64, 22, 0, service_load::queueing},
+      {"three quarters delayed", 64, 24, 0, service_load::saturated},
+      {"no answer for a second", 64, 24, us_per_s, service_load::saturated},
+      {"no answer for longer", 64, 24, us_per_s + 1, service_load::normal},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      load_monitor monitor(defaults);
+      time_us now = us_per_s;
+      add_answers(&monitor, &now, row.prompt, 20 * us_per_ms);
+      add_answers(&monitor, &now, row.delayed, 60 * us_per_ms);
+      now += row.since_last;
+      BOOST_TEST(name_of(monitor.load(now, "notes")) == name_of(row.expected));
+      BOOST_TEST(name_of(monitor.load(now, "archive")) == "normal");
+    }
+  }
+}
+
+struct usual_time_row {
+  const char* name;
+  time_us duration;  ///< Of answers that take three times as long.
+  bool still_overload;
+};
+
+// Guards against an overload that becomes the usual case while it lasts, and
+// against work that has become longer and counts as overload for ever.
+BOOST_AUTO_TEST_CASE(usual_time_grows_slowly) {
+  const usual_time_row rows[] = {{"burst", 10 * us_per_s, true},
+                                 {"a minute", 60 * us_per_s, true},
+                                 {"longer work", 300 * us_per_s, false}};
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      load_monitor monitor(defaults);
+      time_us now = us_per_s;
+      add_answers(&monitor, &now, 64, 20 * us_per_ms);
+      const time_us end = now + row.duration;
+      while (now < end)
+        add_answers(&monitor, &now, 16, 60 * us_per_ms);
+      const bool overload =
+          monitor.load(now, "notes") == service_load::saturated;
+      BOOST_TEST(overload == row.still_overload);
+      add_answers(&monitor, &now, 640, 20 * us_per_ms);
+      BOOST_TEST(monitor.usual(route_address) < 21 * us_per_ms);
+    }
+  }
+}
+
+struct full_target_row {
+  const char* name;
+  bool detect = false;
+  bool registry_lost = false;
+  bool loaded = false;
+  bool repeated = false;  ///< The caller sends a copy of the opening.
+  size_t reports = 0;     ///< Until the copy or the end of the flow.
+};
+
+// Guards against balancers that take full targets for dead ones: reports of the
+// openings that these reset made all balancers avoid them, and the targets that
+// were left filled up in turn.
+BOOST_AUTO_TEST_CASE(openings_reset_by_full_targets_are_not_reported) {
+  const full_target_row rows[] = {
+      {"setting off", false, false, false, false, 1},
+      {"reset", true, false, false, false, 0},
+      {"dead", true, false, false, true, 1},
+      {"reset, restarts may be unseen", true, true, false, false, 1},
+      {"dead, restarts may be unseen", true, true, false, true, 1},
+      {"reset under load, restarts may be unseen", true, true, true, false, 0},
+      {"dead under load, restarts may be unseen", true, true, true, true, 1},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      table_builder builder;
+      builder.add("a", "north");
+      builder.add("b", "north");
+      forwarding_options options = full_target_options();
+      options.detect_full_targets = row.detect;
+      learned_fixture balancer(builder, options);
+      balancer.core.set_registry_lost(row.registry_lost);
+      if (row.loaded)
+        balancer.serve(32, 60 * us_per_ms);
+      BOOST_TEST(balancer.core.take_reports().size() == 0U);
+      balancer.open_flow(9000);
+      balancer.wait(200 * us_per_ms);
+      if (row.repeated)
+        balancer.repeat_opening(9000, 1);
+      const auto reports = balancer.core.take_reports();
+      BOOST_TEST(reports.size() == row.reports);
+      for (const auto& report : reports) {
+        BOOST_CHECK(report.observation == target_observation::silent);
+        BOOST_TEST(report.failures == 1U);
+      }
+    }
+  }
+}
+
+// Guards against a recovery that is reported without a silence: peers would
+// treat a target that was full as one that has restarted.
+BOOST_AUTO_TEST_CASE(recovery_is_reported_only_after_reported_silence) {
+  for (const bool detect : {false, true}) {
+    table_builder builder;
+    builder.add("a", "north");
+    forwarding_options options = full_target_options();
+    options.detect_full_targets = detect;
+    learned_fixture balancer(builder, options);
+    balancer.open_flow(9000);
+    balancer.wait(200 * us_per_ms);
+    balancer.core.take_reports();
+    balancer.serve(1, 20 * us_per_ms);
+    BOOST_TEST(balancer.core.take_reports().empty() == detect);
+  }
+}
+
+struct weight_row {
+  const char* name;
+  double first;  ///< Answer times of three targets, in usual ones.
+  double others;
+  int answers;  ///< Of each.
+  double min_weight;
+  double max_weight;  ///< Of the first target.
+};
+
+BOOST_AUTO_TEST_CASE(weights_follow_answer_times) {
+  const weight_row rows[] = {
+      {"no answers", 1.0, 1.0, 0, 1.0, 1.0},
+      {"too few answers", 4.0, 1.0, 3, 1.0, 1.0},
+      {"equal targets", 1.0, 1.0, 50, 1.0, 1.0},
+      {"work differs a little", 1.3, 1.0, 50, 1.0, 1.0},
+      {"slow target", 2.4, 1.0, 50, 0.55, 0.75},
+      {"fast target", 0.41, 1.0, 50, 1.7, 2.1},
+      {"rejects at once", 0.01, 1.0, 50, 0.38, 0.48},
+      {"much slower than all bounds", 1000.0, 1.0, 50, 0.38, 0.48},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      target_weights weights{target_weight_options{}};
+      const auto targets = make_targets(3);
+      time_us now = us_per_s;
+      add_answers(&weights, &now, targets, {row.first, row.others, row.others},
+                  row.answers);
+      const double weight = weights.weight(now, targets[0]);
+      BOOST_TEST(weight >= row.min_weight);
+      BOOST_TEST(weight <= row.max_weight);
+    }
+  }
+}
+
+// Guards against a target that stays penalized after it has recovered, and gets
+// no flows that would show it.
+BOOST_AUTO_TEST_CASE(weights_of_failing_targets_recover) {
+  target_weights weights{target_weight_options{}};
+  const auto targets = make_targets(20);
+  time_us now = us_per_s;
+  add_answers(&weights, &now, targets, std::vector<double>(20, 1.0), 10);
+  for (int i = 0; i < 40; ++i)
+    weights.add_failure(now, targets[0]);
+  const double failing = weights.weight(now, targets[0]);
+  BOOST_TEST(failing >= target_weight_options().min_weight);
+  BOOST_TEST(failing < 0.5);
+  now += 90 * us_per_s;
+  BOOST_TEST(weights.weight(now, targets[0]) == 1.0);
+}
+
+struct share_row {
+  const char* name;
+  bool learn;
+  time_us slow_answer;  ///< Answer time of target a; 20 ms for the others.
+  int min_share;
+  int max_share;  ///< Flows of 300 that target a gets afterwards.
+};
+
+// Load: demand and targets of unequal speed. Guards against slow targets that
+// get as many flows as fast ones, and against targets that get none.
+BOOST_AUTO_TEST_CASE(slow_targets_get_fewer_flows) {
+  const share_row rows[] = {
+      {"equal", true, 20 * us_per_ms, 70, 130},
+      {"slow, not learned", false, 60 * us_per_ms, 70, 130},
+      {"slow", true, 60 * us_per_ms, 30, 70},
+      {"very slow", true, 300 * us_per_ms, 5, 55},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      table_builder builder;
+      for (const char* name : {"a", "b", "c"})
+        builder.add(name, "north");
+      forwarding_options options = forwarding_fixture::options();
+      options.placing.learn_weights = row.learn;
+      forwarding_fixture balancer(builder, 1, options);
+      uint16_t port = 2000;
+      std::map<std::string, int> counts;
+      for (int i = 0; i < 600; ++i) {
+        const auto opened = balancer.open_flow(++port);
+        const std::string name = opened.target->entry.name;
+        counts[name] += i >= 300 ? 1 : 0;
+        balancer.wait(us_per_ms);
+        balancer.send_request(port, opened.target->token, 1);
+        balancer.wait(name == "a" ? row.slow_answer : 20 * us_per_ms);
+        balancer.send_segment(port, opened.target->token, 600, true);
+      }
+      BOOST_TEST(counts["a"] >= row.min_share);
+      BOOST_TEST(counts["a"] <= row.max_share);
+    }
+  }
+}
+
+// Guards against weights that change the choices among equal targets.
+BOOST_AUTO_TEST_CASE(choices_among_equal_targets_stay_the_same) {
+  std::vector<std::string> chosen[2];
+  for (const bool learn : {false, true}) {
+    table_builder builder;
+    for (const char* name : {"a", "b", "c", "d"})
+      builder.add(name, "north");
+    forwarding_options options = forwarding_fixture::options();
+    options.placing.learn_weights = learn;
+    options.detect_full_targets = learn;
+    learned_fixture balancer(builder, options);
+    for (uint16_t port = 9000; port < 9100; ++port)
+      chosen[learn ? 1 : 0].push_back(balancer.complete_flow(port));
+  }
+  BOOST_CHECK(chosen[0] == chosen[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace turmeric
