Change: deploy: full targets are not reported to peers

Cause: a target that resets openings because it is full was reported as silent; all balancers avoided it and the others filled up in turn. Change: overload.full_targets = true in the settings template.

Change: deploy: slow targets get fewer new flows (overload.target_weights).

--- a/deploy/turmericd.ini.tpl
+++ b/deploy/turmericd.ini.tpl
@@ -21,3 +21,7 @@
 calm_time = {{bounds.stable_window_ms}}
 cold_overage = {{bounds.cold_overage}}
 cold_slack = {{bounds.cold_slack}}
+
+[overload]
+full_targets = true
+target_weights = true
