Feature: admission control and fair shares of callers (parts)

Cause: while a service is saturated, its full targets reject openings of the first priority as often as others, and a caller with many flows starves the rest (docs/design/overload.md). Not connected to forwarding_core yet.

--- a/packages/coordination/include/turmeric/coordination/overload/admission_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/admission_base.h
@@ -5,11 +5,15 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "turmeric/coordination/overload/caller_shares_base.h"
+#include "turmeric/coordination/overload/concurrency_limit_base.h"
 #include "turmeric/coordination/overload/load_monitor_base.h"
+#include "turmeric/coordination/overload/opening_queue_base.h"
 #include "turmeric/state/segment_type.h"
 
 namespace turmeric {
@@ -25,18 +29,13 @@
   size_t max_waiting = 1024;  ///< Openings of all services together.
   bool fair_shares = false;   ///< Whether callers get fair shares.
   caller_share_options shares;
+  concurrency_limit_options limit;
+  /** Services kept. Idle ones are removed when there are more. */
+  size_t max_services = 1024;
 };
 
 enum class admission_verdict : uint8_t { admit, wait, refuse, end };
 
-/** The first copy of an opening, with what decides on its turn. */
-struct waiting_opening {
-  segment opening;
-  uint32_t priority = 0;          ///< Of its route; 0 is the highest.
-  bool highest_priority = false;  ///< Of the routes of its service.
-  time_us latency_objective = 0;  ///< Of its route; 0 if it has none.
-};
-
 /** An opening whose wait has ended. */
 struct released_opening {
   segment opening;
@@ -58,7 +57,8 @@
   explicit admission(admission_options options);
 
   /** Decides on an opening of @p service. With `wait`, take_released() returns
-   * it later; with `refuse` it is over at once.
+   * it later; with `refuse` it is over at once. The opening of a flow that
+   * waits already is not queued again, and other copies are admitted.
    * @param load Of the service; see load_monitor. */
   admission_verdict on_opening(time_us now,
                                const std::string& service,
@@ -97,7 +97,47 @@
   std::vector<admission_status> status() const;
 
  private:
+  struct service_state {
+    uint32_t in_flight = 0;
+    concurrency_limit limit;
+    opening_queue queue;
+  };
+
+  service_state& state_of(const std::string& service);
+  bool has_room(const service_state& state) const;
+
+  /** Makes take_released() due if an opening can be admitted. */
+  void schedule_release(time_us now, const service_state& state);
+
+  admission_verdict enqueue(time_us now,
+                            service_state* state,
+                            queued_opening entry);
+
+  /** Removes the last of all waiting openings in order if it comes after
+   * @p entry. @return Whether there is a place for @p entry. */
+  bool make_place(time_us now, const queued_opening& entry);
+
+  void release(time_us now,
+               const std::string& service,
+               service_state* state,
+               std::vector<released_opening>* out);
+  void finish_wait(time_us now,
+                   const queued_opening& entry,
+                   admission_verdict verdict,
+                   std::vector<released_opening>* out);
+  bool over_share(time_us now,
+                  const std::string& service,
+                  uint32_t caller,
+                  size_t waiting) const;
+  void count_admitted(time_us now, const std::string& service, uint32_t caller);
+
   admission_options options_;
+  caller_shares shares_;
+  std::map<std::string, service_state> services_;
+  std::unordered_set<flow_key, flow_key_hash> waiting_;
+  std::vector<released_opening> evicted_;  ///< Until take_released().
+  uint64_t next_number_ = 0;
+  time_us due_ = INT64_MAX;  ///< Not later than any end of a wait.
 };
 
 }  // namespace turmeric
--- a/packages/coordination/include/turmeric/coordination/overload/caller_shares_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/caller_shares_base.h
@@ -24,6 +24,11 @@
   /** Callers kept for each service; the flows of further ones count as within
    * their share. */
   size_t max_callers = 4096;
+  /** A caller is forgotten when its count has decayed to this: three time
+   * constants after a single opening. */
+  double min_count = 0.05;
+  /** Services kept; callers of further ones count as within their share. */
+  size_t max_services = 1024;
 };
 
 /** Counts the openings admitted for each caller, and tells which callers have
@@ -34,14 +39,36 @@
 
   void on_admitted(time_us now, const std::string& service, uint32_t caller);
 
-  /** @return Whether another opening would put @p caller over its fair share of
+  /** @param waiting Openings of the caller that may be admitted before this
+   * one; without them, a burst would count as within the share.
+   * @return Whether another opening would put @p caller over its fair share of
    * the service. */
   bool over_share(time_us now,
                   const std::string& service,
-                  uint32_t caller) const;
+                  uint32_t caller,
+                  size_t waiting = 0) const;
+
+  /** @return The callers kept for all services together. */
+  size_t callers() const;
 
  private:
+  /** Counts of one service. They are stored as of `origin`, so that decay
+   * changes none of them: an opening at time t adds exp((t - origin) / memory).
+   */
+  struct service_counts {
+    std::unordered_map<uint32_t, double> callers;
+    double sum = 0.0;
+    time_us origin = 0;
+  };
+
+  /** @return The factor by which counts decay in @p elapsed. */
+  double decay(time_us elapsed) const;
+
+  /** Moves the origin to @p now and removes callers that got nothing lately. */
+  void rebase(time_us now, service_counts* counts) const;
+
   caller_share_options options_;
+  std::unordered_map<std::string, service_counts> services_;
 };
 
 }  // namespace turmeric
--- /dev/null
+++ b/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
@@ -0,0 +1,69 @@
+/** @file concurrency_limit_base.h Limit on the flows of a service that await a
+ * response, set while its targets are saturated. */
+#ifndef TURMERIC_COORDINATION_OVERLOAD_CONCURRENCY_LIMIT_BASE_H_
+#define TURMERIC_COORDINATION_OVERLOAD_CONCURRENCY_LIMIT_BASE_H_
+
+#include <cstdint>
+
+#include "turmeric/coordination/overload/load_monitor_base.h"
+
+namespace turmeric {
+
+struct concurrency_limit_options {
+  /** The first limit, as a share of the flows in flight at saturation. */
+  double initial_share = 0.8;
+  /** Responses between two changes: about as many as show the last one. */
+  uint32_t responses_per_change = 16;
+  double decrease = 0.8;   ///< Factor at a change while saturated.
+  double increase = 1.1;   ///< Factor at a change while few are delayed.
+  double increment = 1.0;  ///< Added to that, for small limits.
+  /** Share of delayed responses up to which the limit rises. */
+  double max_delayed_share = 0.5;
+  /** The limit is lifted after this time without need of it. */
+  time_us idle_time = us_per_s;
+  /** The limit is lifted without a response for this time, when the load is
+   * unknown; all targets may have died. */
+  time_us max_age = us_per_s;
+};
+
+/** Limit of one service at one balancer. It starts unset. */
+class concurrency_limit {
+ public:
+  bool is_set() const { return limit_ > 0.0; }
+
+  /** @return The limit, or -1 without one. */
+  double value() const { return limit_ > 0.0 ? limit_ : -1.0; }
+
+  /** @return How many more flows it allows with @p in_flight; all without a
+   * limit. */
+  uint32_t room(uint32_t in_flight) const;
+
+  /** Adapts the limit. @param delayed_share See load_monitor. */
+  void on_response(time_us now,
+                   double delayed_share,
+                   service_load load,
+                   uint32_t in_flight,
+                   const concurrency_limit_options& options);
+
+  /** Records that an opening waits or is refused. */
+  void on_wait(time_us now);
+
+  /** Lifts the limit if it is not needed any more. */
+  void lift_if_idle(time_us now,
+                    service_load load,
+                    const concurrency_limit_options& options);
+
+  /** Lifts the limit if the load has become unknown. */
+  void lift_if_stale(time_us now, const concurrency_limit_options& options);
+
+ private:
+  double limit_ = 0.0;  ///< 0 if it is not set.
+  uint32_t responses_ = 0;
+  bool reached_ = false;  ///< Since the last change.
+  time_us last_response_ = 0;
+  time_us last_wait_ = 0;
+};
+
+}  // namespace turmeric
+
+#endif  // TURMERIC_COORDINATION_OVERLOAD_CONCURRENCY_LIMIT_BASE_H_
