Feature: openings wait or are refused while a service is saturated

Cause: full targets reject openings whatever their route's priority; callers of the first priority failed as often as the others. Change: forwarding_core counts flows that await an answer, asks admission for the first copy of an opening, and returns held ones with take_deferred(); the traffic thread keeps their packets. Metrics, log lines and /status show load, limit and waiting openings. On in the deploy template.

--- a/deploy/turmericd.ini.tpl
+++ b/deploy/turmericd.ini.tpl
@@ -25,3 +25,5 @@
 [overload]
 full_targets = true
 target_weights = true
+admission = true
+caller_shares = true
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -11,9 +11,11 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <set>
 #include <utility>
 #include <vector>
 
+#include "turmeric/coordination/overload/admission_base.h"
 #include "turmeric/coordination/overload/load_monitor_base.h"
 #include "turmeric/coordination/placement_base.h"
 #include "turmeric/coordination/traffic_metrics_base.h"
@@ -61,9 +63,16 @@
    * because it is full; see may_be_full(). */
   bool detect_full_targets = false;
   load_monitor_options load;
+  admission_options admission;
 };
 
-enum class forwarding_action : uint8_t { drop, forward, reset, end };
+enum class forwarding_action : uint8_t {
+  drop,
+  forward,
+  reset,
+  hold,  ///< Keep the segment until take_deferred() returns it.
+  end
+};
 
 /** Why a segment is treated so. */
 enum class forwarding_reason : uint8_t {
@@ -78,6 +87,8 @@
   not_a_caller,   ///< A segment that only targets send.
   paused,         ///< Dropped after a pause of the process; see on_pause().
   superseded,     ///< An opening whose next copy has been sent.
+  waiting,        ///< An opening that waits, as its service is saturated.
+  overloaded,     ///< Refused, as its service is saturated.
   end
 };
 
@@ -91,6 +102,12 @@
   placement_choice choice;                    ///< Set for openings.
 };
 
+/** A decision on a segment that was held. */
+struct deferred_decision {
+  segment opening;
+  forwarding_decision decision;
+};
+
 /** Events of flows and targets, for the log. */
 enum class forwarding_event_kind : uint8_t {
   placed,              ///< An opening went to a target.
@@ -101,6 +118,7 @@
   opening_unanswered,  ///< A target left an opening unanswered.
   target_recovered,    ///< A target answered after unanswered openings.
   target_reported,     ///< A peer reported on a target.
+  load_changed,        ///< A service is saturated, or no longer.
   end
 };
 
@@ -120,7 +138,11 @@
   size_t candidates = 0;      ///< Targets that the flow could be placed on.
   double cost = 0.0;          ///< Of the chosen target.
   time_us since_opening = 0;
+  time_us waited = 0;     ///< Time for which the opening was held.
   time_us table_age = 0;  ///< Time since the table was received.
+  std::string service;    ///< Of a change of its load.
+  service_load load = service_load::end;  ///< The same.
+  double delayed_share = 0.0;             ///< The same; see load_monitor.
 };
 
 /** Counters of one balancer. */
@@ -154,6 +176,9 @@
   /** When the first segment of the request that awaits its answer came; 0 if
    * none does or another balancer may have got it. */
   time_us request_started = 0;
+  /** Service for which admission counts it as awaiting an answer; null if it
+   * does not. */
+  const std::string* in_flight = nullptr;
 };
 /** Decides on the segments of one balancer. For the traffic thread only. */
 class forwarding_core {
@@ -167,6 +192,7 @@
    * new ones during `resume_delay`, in which the directory may be updated. */
   void on_pause(time_us now) {
     drop_openings_until_ = now + options_.resume_delay;
+    admission_.drop_waiting();
   }
 
   /** Sets the balancers that share the targets; see placement. */
@@ -201,6 +227,10 @@
                                  const segment& s,
                                  time_us waited = 0);
 
+  /** @return Decisions on segments for which on_segment() returned `hold`. To be
+   * called after on_segment() and tick(). */
+  std::vector<deferred_decision> take_deferred(time_us now);
+
   void count_malformed() { ++counters_.malformed; }
 
   /** Runs the checks that are due. */
@@ -216,6 +246,8 @@
 
   const forwarding_counters& counters() const { return counters_; }
   const placement& placing() const { return placement_; }
+  const load_monitor& loads() const { return loads_; }
+  const admission& admitting() const { return admission_; }
   /** @return Times in ms from openings to the callers' next segments, which
    * show that the target has answered. */
   const latency_histogram& answer_times() const { return answer_times_; }
@@ -241,6 +273,15 @@
                                     const placement_choice& choice);
   bool is_superseded(const segment& opening, time_us waited) const;
   forwarding_decision on_opening(time_us now, const segment& s, time_us waited);
+  /** Decides whether the first copy of an opening is placed now. */
+  forwarding_decision admit(time_us now,
+                            const segment& s,
+                            const route_entry& route);
+  /** Decides on an opening whose wait has ended, with the present table. */
+  forwarding_decision place_released(time_us now, const segment& s);
+  /** @param service Null if the flow awaits no answer. */
+  void set_in_flight(time_us now, flow_state* flow, const std::string* service);
+  void adapt_admission(time_us now, const std::string& service);
   forwarding_decision on_retransmitted(time_us now,
                                        const segment& s,
                                        time_us waited,
@@ -273,7 +314,8 @@
                     flow_state* flow);
   void end_request(time_us now, flow_state* flow);
   bool learns_answers() const {
-    return options_.detect_full_targets || options_.placing.learn_weights;
+    return options_.detect_full_targets || options_.placing.learn_weights ||
+           options_.admission.enabled;
   }
   /** @param alive_at See placement::on_answer(). */
   void record_answer(time_us now,
@@ -283,12 +325,14 @@
   bool is_logged(const flow_key& key) const;
   void log_decision(time_us now,
                     const segment& s,
-                    const forwarding_decision& decision);
+                    const forwarding_decision& decision,
+                    time_us waited);
   void add_event(time_us now,
                  forwarding_event_kind kind,
                  const flow_key& key,
                  flow_token token,
-                 const forwarding_decision* decision = nullptr);
+                 const forwarding_decision* decision = nullptr,
+                 time_us waited = 0);
   void check_answers(time_us now);
   void schedule_quiet_check(time_us now, const flow_key& key, flow_state* flow);
   void check_answered(time_us now);
@@ -307,6 +351,9 @@
   time_us drop_openings_until_ = 0;
   latency_histogram answer_times_;
   load_monitor loads_;
+  std::set<std::string> saturated_;  ///< Services logged as saturated.
+  admission admission_;
+  std::set<std::string> services_;  ///< Names that flows refer to.
   forwarding_counters counters_;
   std::vector<forwarding_event> events_;
 };
--- a/packages/coordination/include/turmeric/coordination/forwarding_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_table_base.h
@@ -62,6 +62,10 @@
   const std::vector<const forwarding_target*>& eligible_targets(
       const std::string& service) const;
 
+  /** @return The highest priority (lowest number) of the routes to @p service;
+   * UINT32_MAX without one. */
+  uint32_t highest_priority(const std::string& service) const;
+
   /** @return All targets by token. */
   const std::unordered_map<flow_token, forwarding_target>& targets() const {
     return targets_;
@@ -96,6 +100,7 @@
   std::unordered_map<endpoint, route_entry, endpoint_hash> routes_;
   std::unordered_map<std::string, std::vector<const forwarding_target*>>
       eligible_;
+  std::unordered_map<std::string, uint32_t> priorities_;  ///< By service.
   std::array<uint64_t, directory_kinds> revisions_{};
   uint64_t routing_version_ = 0;
   time_us idle_timeout_ = 0;
--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -32,7 +32,7 @@
    * few slow targets, or lost packets, delay fewer. */
   double queueing_share = 0.25;
   /** Share of delayed answers from which all targets of a service queue. */
-  double saturated_share = 0.75;
+  double saturated_share = 0.6;
   /** The load is unknown if the last answer is older than this. */
   time_us max_age = us_per_s;
 };
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -12,14 +12,16 @@
                      static_cast<size_t>(forwarding_reason::end)>
     reason_names = {"opened",       "repeated", "moved",     "continued",
                     "no_table",     "no_route", "no_target", "unknown_token",
-                    "not_a_caller", "paused",   "superseded"};
+                    "not_a_caller", "paused",   "superseded", "waiting",
+                    "overloaded"};
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_event_kind::end)>
     event_names = {"flow placed",          "flow refused",
                    "segment dropped",      "flow answered",
                    "flow ended",           "target left an opening unanswered",
-                   "target answers again", "target reported by a peer"};
+                   "target answers again", "target reported by a peer",
+                   "service load changed"};
 /** Most events kept until they are taken for the log. Events beyond it are
  * dropped and counted in `events_lost`; the other counters include them. */
 constexpr size_t max_events = 64;
@@ -63,7 +65,8 @@
     : options_(options),
       placement_(options.placing, std::move(random)),
       answer_times_(make_latency_histogram()),
-      loads_(options.load) {}
+      loads_(options.load),
+      admission_(options.admission) {}
 
 void forwarding_core::set_table(time_us now,
                                 std::shared_ptr<const forwarding_table> table) {
@@ -99,7 +102,7 @@
                                                 time_us waited) {
   forwarding_decision decision = decide(now, s, waited);
   ++counters_.reasons[static_cast<size_t>(decision.reason)];
-  log_decision(now, s, decision);
+  log_decision(now, s, decision, 0);
   return decision;
 }
 
@@ -158,9 +161,104 @@
       return on_retransmitted(now, s, waited, *route, &it->second);
     end_flow(now, key_of(s));
   }
+  // A later copy may belong to a flow that another balancer has opened.
+  const bool first = s.acknowledged == 0;
+  return first && options_.admission.enabled
+             ? admit(now, s, *route)
+             : open_flow(now, s, service_of(*route, key_of(s)), 0);
+}
+
+forwarding_decision forwarding_core::admit(time_us now,
+                                           const segment& s,
+                                           const route_entry& route) {
+  if (admission_.is_waiting(key_of(s))) {
+    return {
+        forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
+  }
+  const std::string service = service_of(route, key_of(s));
+  const waiting_opening opening{
+      s, route.priority,
+      route.priority <= table_->highest_priority(service),
+      route.latency_objective};
+  switch (admission_.on_opening(now, service, opening,
+                                loads_.load(now, service))) {
+    case admission_verdict::wait:
+      return {
+          forwarding_action::hold, forwarding_reason::waiting, nullptr, {}};
+    case admission_verdict::refuse:
+      return refuse(s, forwarding_reason::overloaded, {});
+    default:
+      return open_flow(now, s, service, 0);
+  }
+}
+
+forwarding_decision forwarding_core::place_released(time_us now,
+                                                    const segment& s) {
+  const route_entry* route = table_->route_at(s.destination);
+  if (route == nullptr)
+    return refuse(s, forwarding_reason::no_route, {});
+  if (flows_.count(key_of(s)) != 0) {
+    // A copy was placed meanwhile.
+    return {
+        forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
+  }
   return open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
 
+std::vector<deferred_decision> forwarding_core::take_deferred(time_us now) {
+  std::vector<deferred_decision> out;
+  if (!options_.admission.enabled)
+    return out;
+  for (const auto& released : admission_.take_released(now)) {
+    const segment& s = released.opening;
+    const forwarding_decision decision =
+        released.verdict == admission_verdict::admit
+            ? place_released(now, s)
+            : refuse(s, forwarding_reason::overloaded, {});
+    ++counters_.reasons[static_cast<size_t>(decision.reason)];
+    log_decision(now, s, decision, released.waited);
+    out.push_back({s, decision});
+  }
+  return out;
+}
+
+void forwarding_core::set_in_flight(time_us now,
+                                    flow_state* flow,
+                                    const std::string* service) {
+  if (!options_.admission.enabled || flow->in_flight == service)
+    return;
+  if (flow->in_flight != nullptr)
+    admission_.on_finished(now, *flow->in_flight);
+  flow->in_flight = service;
+  if (service != nullptr)
+    admission_.on_started(now, *service);
+}
+
+void forwarding_core::adapt_admission(time_us now,
+                                      const std::string& service) {
+  const double share = loads_.delayed_share(now, service);
+  const service_load load = loads_.load(now, service);
+  if (options_.admission.enabled)
+    admission_.on_answer(now, service, share, load);
+  // Load around the lower threshold would be logged many times a second.
+  const bool saturated = load == service_load::saturated;
+  const bool changed = saturated ? saturated_.insert(service).second
+                                 : saturated_.erase(service) != 0;
+  if (!changed)
+    return;
+  if (events_.size() >= max_events) {
+    ++counters_.events_lost;
+    return;
+  }
+  forwarding_event event;
+  event.kind = forwarding_event_kind::load_changed;
+  event.service = service;
+  event.load = load;
+  event.delayed_share = share;
+  event.table_age = now - table_since_;
+  events_.push_back(std::move(event));
+}
+
 forwarding_decision forwarding_core::on_retransmitted(time_us now,
                                                       const segment& s,
                                                       time_us waited,
@@ -211,6 +309,8 @@
   if (flows_.size() < options_.max_flows) {
     add_flow(now, s, choice.target->token);
     placement_.on_flow_opened(now, *choice.target);
+    if (options_.admission.enabled)
+      set_in_flight(now, &flows_[key_of(s)], &*services_.insert(service).first);
     answer_checks_.push_back({now + options_.answer_timeout, key_of(s)});
   }
   return {forwarding_action::forward, forwarding_reason::opened, choice.target,
@@ -305,15 +405,21 @@
     const double ratio =
         loads_.add(now, target.entry.service, s.destination, took);
     placement_.on_request_answered(now, target, ratio);
+    set_in_flight(now, flow, nullptr);
+    adapt_admission(now, target.entry.service);
   }
   const bool closes = s.flags.finishes || s.flags.resets;
-  if (s.data_bytes != 0 && flow->request_started == 0)
+  if (s.data_bytes != 0 && flow->request_started == 0) {
     flow->request_started = now;
-  else if (closes)
+    if (options_.admission.enabled)
+      set_in_flight(now, flow, &*services_.insert(target.entry.service).first);
+  } else if (closes) {
     end_request(now, flow);
+  }
 }
 
 void forwarding_core::end_request(time_us now, flow_state* flow) {
+  set_in_flight(now, flow, nullptr);
   if (std::exchange(flow->request_started, 0) == 0)
     return;
   if (const auto* target = table_->target_of(flow->token))
@@ -335,12 +441,16 @@
 
 void forwarding_core::log_decision(time_us now,
                                    const segment& s,
-                                   const forwarding_decision& decision) {
+                                   const forwarding_decision& decision,
+                                   time_us waited) {
   const flow_key key = key_of(s);
   const bool opening = decision.action == forwarding_action::forward &&
                        decision.reason != forwarding_reason::continued;
+  if (decision.action == forwarding_action::hold) {
+    return;  // Logged with its outcome.
+  }
   if (decision.action == forwarding_action::reset) {
-    add_event(now, forwarding_event_kind::refused, key, 0, &decision);
+    add_event(now, forwarding_event_kind::refused, key, 0, &decision, waited);
   } else if (decision.action == forwarding_action::drop) {
     add_event(now, forwarding_event_kind::dropped, key, s.token, &decision);
   } else if (opening) {
@@ -349,7 +459,7 @@
     // Retransmitted openings are rare and indicate failures, so all are logged.
     if (is_logged(key) || decision.reason != forwarding_reason::opened) {
       add_event(now, forwarding_event_kind::placed, key, decision.target->token,
-                &decision);
+                &decision, waited);
     }
   }
 }
@@ -358,7 +468,8 @@
                                 forwarding_event_kind kind,
                                 const flow_key& key,
                                 flow_token token,
-                                const forwarding_decision* decision) {
+                                const forwarding_decision* decision,
+                                time_us waited) {
   if (events_.size() >= max_events) {
     ++counters_.events_lost;
     return;
@@ -367,6 +478,7 @@
   event.kind = kind;
   event.flow = key;
   event.token = token;
+  event.waited = waited;
   event.table_age = table_ == nullptr ? 0 : now - table_since_;
   if (decision != nullptr) {
     event.reason = decision->reason;
@@ -419,6 +531,7 @@
   flow->report_withheld =
       !repeated && target != nullptr && may_be_full(now, *target);
   counters_.reports_withheld += flow->report_withheld ? 1 : 0;
+  set_in_flight(now, flow, nullptr);
   if (target != nullptr) {
     placement_.on_unanswered(now, *target, flow->opened,
                              !flow->report_withheld);
@@ -443,6 +556,7 @@
   if (it == flows_.end())
     return;
   set_active(now, &it->second, false);
+  set_in_flight(now, &it->second, nullptr);
   flows_.erase(it);
 }
 
@@ -536,7 +650,7 @@
     next = std::min(next, quiet_checks_.front().due);
   if (!idle_checks_.empty())
     next = std::min(next, idle_checks_.front().due);
-  return next;
+  return std::min(next, admission_.next_due());
 }
 
 }  // namespace turmeric
--- a/packages/coordination/src/forwarding_table.cpp
+++ b/packages/coordination/src/forwarding_table.cpp
@@ -49,8 +49,14 @@
 void forwarding_table::add_routing(const routing_entry& routing) {
   routing_version_ = routing.version;
   idle_timeout_ = routing.idle_timeout;
-  for (const auto& route : routing.routes)
+  for (const auto& route : routing.routes) {
     routes_[route.address] = route;
+    for (const auto& weighted : route.services) {
+      const auto [it, added] =
+          priorities_.try_emplace(weighted.service, route.priority);
+      it->second = std::min(it->second, route.priority);
+    }
+  }
   std::unordered_map<std::string, double> cold_rates;
   for (const auto& service : routing.services)
     cold_rates[service.name] = service.cold_per_s;
@@ -82,6 +88,11 @@
   return it == routes_.end() ? nullptr : &it->second;
 }
 
+uint32_t forwarding_table::highest_priority(const std::string& service) const {
+  const auto it = priorities_.find(service);
+  return it == priorities_.end() ? UINT32_MAX : it->second;
+}
+
 const std::vector<const forwarding_target*>& forwarding_table::eligible_targets(
     const std::string& service) const {
   static const std::vector<const forwarding_target*> none;
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include "turmeric/coordination/forwarding_core_base.h"
@@ -32,6 +33,14 @@
   uint32_t active_flows = 0;       ///< "in_hand" in JSON and metrics.
   uint32_t failures = 0;           ///< Openings in a row left unanswered.
   uint32_t reported_failures = 0;  ///< Unanswered openings that peers reported.
+  double weight = 1.0;             ///< Share of new flows; see target_weights.
+};
+
+/** Load of a service, as this balancer sees it. */
+struct service_snapshot {
+  std::string name;
+  service_load load = service_load::normal;
+  admission_status admission;
 };
 
 struct flow_snapshot {
@@ -52,6 +61,8 @@
   time_us table_age = 0;  ///< Since the forwarding table was received.
   std::array<uint64_t, directory_kinds> revisions{};
   std::vector<target_snapshot> targets;
+  /** The services that have flows or a limit; empty without admission. */
+  std::vector<service_snapshot> services;
   std::vector<flow_snapshot> flow_list;  ///< Empty unless requested.
 };
 
@@ -126,6 +137,8 @@
   void handle_batch(time_us now, time_us longest_wait, batch* b, int count);
   /** @param waited Longest time for which the segment may have waited. */
   void handle_segment(time_us now, time_us waited, batch* b, int index);
+  /** Sends or drops the packets whose wait has ended. */
+  void send_deferred(time_us now, batch* b);
 
   endpoint local_;
   file_descriptor socket_;
@@ -139,6 +152,8 @@
   bool table_published_ = false;
   /** Table in use; actions of a batch point into it. */
   std::shared_ptr<const forwarding_table> table_;
+  /** Packets that wait, with space for the prefix that names the target. */
+  std::unordered_map<flow_key, std::vector<uint8_t>, flow_key_hash> held_;
   std::function<void()> on_pause_;
   std::function<void(std::vector<target_report>)> on_reports_;
   std::atomic<time_us> last_segment_{0};
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -39,6 +39,7 @@
   out->add(metric::unanswered, static_cast<double>(c.unanswered));
   out->add(metric::doubts, static_cast<double>(c.suspicions));
   out->add(metric::reports, static_cast<double>(c.reports));
+  out->add(metric::silence_withheld, static_cast<double>(c.reports_withheld));
   out->add(metric::malformed, static_cast<double>(c.malformed));
   out->add(metric::flows, static_cast<double>(snapshot.flow_count));
 }
@@ -50,6 +51,23 @@
     out->add(metric::target_open, t.accepts_new_flows ? 1 : 0, labels_of(t));
   for (const auto& t : snapshot.targets)
     out->add(metric::target_failures, t.failures, labels_of(t));
+  for (const auto& t : snapshot.targets)
+    out->add(metric::target_weight, t.weight, labels_of(t));
+}
+
+void add_services(const traffic_snapshot& snapshot, metric_writer* out) {
+  for (const auto& s : snapshot.services) {
+    out->add(metric::service_load, static_cast<double>(s.load),
+             {{"service", s.name}});
+  }
+  for (const auto& s : snapshot.services) {
+    out->add(metric::admission_limit, s.admission.limit,
+             {{"service", s.name}});
+  }
+  for (const auto& s : snapshot.services) {
+    out->add(metric::openings_waiting,
+             static_cast<double>(s.admission.waiting), {{"service", s.name}});
+  }
 }
 
 void add_answer_times(const traffic_snapshot& snapshot, metric_writer* out) {
@@ -102,6 +120,17 @@
   v["in_hand"] = t.active_flows;
   v["failures"] = t.failures;
   v["reported"] = t.reported_failures;
+  v["weight"] = t.weight;
+  return v;
+}
+
+Json::Value service_json(const service_snapshot& s) {
+  Json::Value v;
+  v["name"] = s.name;
+  v["load"] = std::string(name_of(s.load));
+  v["limit"] = s.admission.limit;
+  v["in_flight"] = s.admission.in_flight;
+  v["waiting"] = static_cast<Json::UInt64>(s.admission.waiting);
   return v;
 }
 
@@ -112,6 +141,7 @@
   metric_writer out;
   add_counters(snapshot, &out);
   add_targets(snapshot, &out);
+  add_services(snapshot, &out);
   add_answer_times(snapshot, &out);
   out.add(metric::table_age,
           static_cast<double>(snapshot.table_age) / us_per_s);
@@ -166,6 +196,9 @@
   v["targets"] = static_cast<Json::UInt64>(snapshot.targets.size());
   v["flows"] = static_cast<Json::UInt64>(snapshot.flow_count);
   v["counts"] = flow_counts_json(snapshot);
+  v["services"] = Json::arrayValue;
+  for (const auto& s : snapshot.services)
+    v["services"].append(service_json(s));
   return json_text(v);
 }
 
--- a/packages/transport/src/forwarding/forwarder_settings.cpp
+++ b/packages/transport/src/forwarding/forwarder_settings.cpp
@@ -76,6 +76,9 @@
   o.placing.cold_slack = s.decimal(setting::forwarding_cold_slack);
   o.detect_full_targets = s.flag(setting::overload_full_targets);
   o.placing.learn_weights = s.flag(setting::overload_target_weights);
+  o.admission.enabled = s.flag(setting::overload_admission);
+  o.admission.max_wait = s.duration(setting::overload_max_wait);
+  o.admission.fair_shares = s.flag(setting::overload_caller_shares);
   return o;
 }
 
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -37,7 +37,7 @@
  * fewest, since anybody can cause them; refusals and events of targets are
  * needed to explain failures. */
 constexpr std::array<int, static_cast<size_t>(forwarding_event_kind::end)>
-    log_lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20};
+    log_lines_per_second = {20, 20, 5, 20, 20, 20, 20, 20, 5};
 /** The process counts as paused if poll() returns this much after its timeout.
  * Routers probe twice a second and move flows after two failed probes, so a
  * shorter pause moves no flows. */
@@ -226,6 +226,10 @@
   out.table_age = now - core_.table_since();
   for (const auto& [token, target] : table->targets())
     out.targets.push_back(snapshot_of(now, target));
+  for (const auto& status : core_.admitting().status()) {
+    out.services.push_back(
+        {status.service, core_.loads().load(now, status.service), status});
+  }
   if (!with_flows)
     return out;
   core_.for_each_flow([&](const flow_key& key, const flow_state& flow) {
@@ -253,6 +257,7 @@
   out.active_flows = core_.placing().active_flows(target.token);
   out.failures = core_.placing().failures(target.token);
   out.reported_failures = core_.placing().reported_failures(target.token);
+  out.weight = core_.placing().weight(now, target);
   return out;
 }
 
@@ -281,6 +286,7 @@
     const time_us now = boot_now();
     if (now - wait_started >= wait * us_per_ms + min_pause) {
       core_.on_pause(now);
+      held_.clear();
       if (on_pause_)
         on_pause_();
     }
@@ -292,6 +298,7 @@
     // this process, an answer among them must not count as missing.
     if (count < batch_size)
       core_.tick(now);
+    send_deferred(now, b.get());
     log_events(now);
     auto reports = core_.take_reports();
     if (!reports.empty() && on_reports_)
@@ -317,6 +324,13 @@
       {"table_age_ms", std::to_string(event.table_age / us_per_ms)}};
   if (event.reason != forwarding_reason::end)
     fields.emplace_back("reason", name_of(event.reason));
+  if (event.waited != 0)
+    fields.emplace_back("waited_us", std::to_string(event.waited));
+  if (event.kind == forwarding_event_kind::load_changed) {
+    fields = {{"service", event.service},
+              {"load", std::string(name_of(event.load))},
+              {"delayed_share", fmt::format("{:.2f}", event.delayed_share)}};
+  }
   if (!event.target.empty()) {
     fields.emplace_back("target", event.target);
     fields.emplace_back("zone", event.zone);
@@ -370,6 +384,10 @@
                                   decision.target->entry.number);
     b->add(decision.target->entry.address, b->buffers[index].data(),
            size + platform::target_prefix_bytes);
+  } else if (decision.action == forwarding_action::hold) {
+    const uint8_t* start = b->buffers[index].data();
+    held_[key_of(*s)].assign(start,
+                             start + platform::target_prefix_bytes + size);
   } else if (decision.action == forwarding_action::reset) {
     b->resets[index] = platform::make_reset(*s);
     b->add({s->source.ip, local_.port}, b->resets[index].data(),
@@ -377,6 +395,35 @@
   }
 }
 
+void segment_runner::send_deferred(time_us now, batch* b) {
+  const auto deferred = core_.take_deferred(now);
+  for (size_t i = 0; i < deferred.size(); ++i) {
+    const auto& [opening, decision] = deferred[i];
+    const size_t slot = i % batch_size;
+    if (slot == 0)
+      b->flush(socket_.get());
+    const auto packet = held_.find(key_of(opening));
+    if (packet == held_.end())
+      continue;
+    if (decision.action == forwarding_action::forward) {
+      std::copy(packet->second.begin(), packet->second.end(),
+                b->buffers[slot].begin());
+      uint8_t* data = b->buffers[slot].data() + platform::target_prefix_bytes;
+      platform::write_token(data, decision.target->token);
+      platform::write_target_prefix(b->buffers[slot].data(),
+                                    decision.target->entry.number);
+      b->add(decision.target->entry.address, b->buffers[slot].data(),
+             packet->second.size());
+    } else if (decision.action == forwarding_action::reset) {
+      b->resets[slot] = platform::make_reset(opening);
+      b->add({opening.source.ip, local_.port}, b->resets[slot].data(),
+             platform::header_bytes);
+    }
+    held_.erase(packet);
+  }
+  b->flush(socket_.get());
+}
+
 void segment_runner::stop() {
   if (!thread_.joinable())
     return;
