Fix: limits of large fleets converge within a second

Cause: in a model of 64 balancers and 24 targets at 2 times the capacity, each balancer gets some 45 responses/s. A first limit of 0.8 of the flows in flight, with changes after 16 responses, took up to 2 s to fall, and small limits swung. Change: the first limit is 0.4 of the flows in flight, and a limit changes after two responses for each of its flows (4 to 16).

--- a/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
@@ -10,10 +10,16 @@
 namespace turmeric {
 
 struct concurrency_limit_options {
-  /** The first limit, as a share of the flows in flight at saturation. */
-  double initial_share = 0.8;
-  /** Responses between two changes: about as many as show the last one. */
-  uint32_t responses_per_change = 16;
+  /** The first limit, as a share of the flows in flight at saturation. The
+   * targets' queues are filling then, and most flows wait in them. */
+  double initial_share = 0.4;
+  /** Responses between two changes for each flow of the limit: one change for
+   * two turns of the flows in flight. */
+  double responses_per_flow = 2.0;
+  /** Bounds of these responses. With many balancers, each gets few responses;
+   * 16 take it a third of a second. */
+  double min_responses = 4.0;
+  double max_responses = 16.0;
   double decrease = 0.8;   ///< Factor at a change while saturated.
   double increase = 1.1;   ///< Factor at a change while few are delayed.
   double increment = 1.0;  ///< Added to that, for small limits.
@@ -57,6 +63,9 @@
   void lift_if_stale(time_us now, const concurrency_limit_options& options);
 
  private:
+  /** @return The responses after which the limit changes. */
+  double responses_per_change(const concurrency_limit_options& options) const;
+
   double limit_ = 0.0;  ///< 0 if it is not set.
   uint32_t responses_ = 0;
   bool reached_ = false;  ///< Since the last change.
--- a/packages/coordination/src/overload/concurrency_limit.cpp
+++ b/packages/coordination/src/overload/concurrency_limit.cpp
@@ -12,6 +12,12 @@
   return whole > in_flight ? whole - in_flight : 0;
 }
 
+double concurrency_limit::responses_per_change(
+    const concurrency_limit_options& options) const {
+  return std::clamp(options.responses_per_flow * limit_, options.min_responses,
+                    options.max_responses);
+}
+
 void concurrency_limit::on_response(time_us now,
                                     double delayed_share,
                                     service_load load,
@@ -31,7 +37,7 @@
   if (!is_set())
     return;
   reached_ = reached_ || room(in_flight) == 0;
-  if (++responses_ < options.responses_per_change)
+  if (++responses_ < responses_per_change(options))
     return;
   if (load == service_load::saturated)
     limit_ = std::max(1.0, limit_ * options.decrease);
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -38,10 +38,12 @@
       part.on_answer(now, service, delayed_share, load);
   }
 
-  /** Sets a limit of 0.8 of @p flows, which is then reached. */
+  /** Sets a limit of 0.8 of @p flows, which is then reached: twice as many are
+   * in flight at saturation. */
   void saturate(int flows) {
-    start(flows);
+    start(2 * flows);
     answer(1, 1.0, service_load::saturated);
+    finish(flows);
   }
 
   static waiting_opening opening(uint16_t port,
@@ -140,7 +142,7 @@
 
 struct limit_row {
   const char* name;
-  int flows;       ///< In flight at saturation.
+  int flows;       ///< Half of those in flight at saturation.
   int finished;    ///< Flows that end then.
   int saturated;   ///< Later responses while saturated.
   int responses;   ///< Responses after these.
@@ -163,6 +165,8 @@
       {"falls with the 16th", 10, 0, 16, 0, 0.0, normal, 0, 6.4},
       {"falls again", 10, 0, 32, 0, 0.0, normal, 0, 5.12},
       {"falls to 1 at least", 10, 0, 640, 0, 0.0, normal, 0, 1.0},
+      {"small limit, 3 responses", 2, 0, 0, 3, 0.2, queueing, 0, 1.6},
+      {"small limit, 4 responses", 2, 0, 0, 4, 0.2, queueing, 0, 2.76},
       {"rises", 10, 0, 0, 16, 0.5, queueing, 0, 9.8},
       {"rises twice", 20, 0, 0, 32, 0.2, queueing, 0, 21.46},
       {"kept while more are delayed", 10, 0, 0, 64, 0.51, queueing, 0, 8.0},
@@ -235,6 +239,25 @@
   }
 }
 
+// Guards against a caller that takes all of the capacity on routes of the first
+// priority, whose openings do not wait otherwise.
+BOOST_AUTO_TEST_CASE(first_priority_over_its_share_waits_at_the_limit) {
+  admission_fixture f(enabled_options(true));
+  for (uint16_t port = 100; port < 200; ++port)
+    f.open(f.opening(port, 0, 9));
+  for (uint32_t caller = 1; caller <= 8; ++caller)
+    f.open(f.opening(300, 0, caller));
+  f.saturate(10);
+  BOOST_TEST(waits(f.open(f.opening(1, 0, 9))));
+  BOOST_TEST(admits(f.open(f.opening(2, 0, 1))));
+  f.finish(3);
+  const std::vector<int> expected = {1};
+  const std::vector<int> released = f.released(admission_verdict::admit);
+  BOOST_TEST(released == expected, boost::test_tools::per_element());
+  // Room that nobody else waits for is lent.
+  BOOST_TEST(admits(f.open(f.opening(3, 0, 9))));
+}
+
 // Guards against a release in the order of arrival: the order is by priority,
 // then callers within their share, then deadline.
 BOOST_AUTO_TEST_CASE(order_of_release) {
