--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -10,8 +10,8 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <unordered_map>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -227,8 +227,8 @@
                                  const segment& s,
                                  time_us waited = 0);
 
-  /** @return Decisions on segments for which on_segment() returned `hold`. To be
-   * called after on_segment() and tick(). */
+  /** @return Decisions on segments for which on_segment() returned `hold`. To
+   * be called after on_segment() and tick(). */
   std::vector<deferred_decision> take_deferred(time_us now);
 
   void count_malformed() { ++counters_.malformed; }
--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -62,6 +62,11 @@
              const endpoint& route,
              time_us took);
 
+  /** Records that a target of @p service has probably reset an opening. Counts
+   * as a delayed answer if requests queue: targets that reset openings for
+   * another reason answer the others without delay. */
+  void add_reset(time_us now, const std::string& service);
+
   /** @return The share of delayed answers among the recent ones, 0 if too few
    * or none are recent. */
   double delayed_share(time_us now, const std::string& service) const;
@@ -87,14 +92,15 @@
     time_us updated = 0;  ///< Last estimate.
   };
 
-  void add_estimate(time_us now, time_us median, route_times* times) const;
-
   struct service_answers {
     uint64_t delayed = 0;  ///< One bit per recent answer.
     uint32_t count = 0;    ///< Recent answers, up to `recent`.
     time_us last = 0;
   };
 
+  void count_answer(time_us now, bool delayed, service_answers* answers) const;
+  void add_estimate(time_us now, time_us median, route_times* times) const;
+
   load_monitor_options options_;
   std::unordered_map<endpoint, route_times, endpoint_hash> routes_;
   std::unordered_map<std::string, service_answers> services_;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(forwarding_reason::end)>
-    reason_names = {"opened",       "repeated", "moved",     "continued",
-                    "no_table",     "no_route", "no_target", "unknown_token",
+    reason_names = {"opened",       "repeated", "moved",      "continued",
+                    "no_table",     "no_route", "no_target",  "unknown_token",
                     "not_a_caller", "paused",   "superseded", "waiting",
                     "overloaded"};
 
@@ -172,19 +172,16 @@
                                            const segment& s,
                                            const route_entry& route) {
   if (admission_.is_waiting(key_of(s))) {
-    return {
-        forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
+    return {forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
   }
   const std::string service = service_of(route, key_of(s));
   const waiting_opening opening{
-      s, route.priority,
-      route.priority <= table_->highest_priority(service),
+      s, route.priority, route.priority <= table_->highest_priority(service),
       route.latency_objective};
-  switch (admission_.on_opening(now, service, opening,
-                                loads_.load(now, service))) {
+  switch (
+      admission_.on_opening(now, service, opening, loads_.load(now, service))) {
     case admission_verdict::wait:
-      return {
-          forwarding_action::hold, forwarding_reason::waiting, nullptr, {}};
+      return {forwarding_action::hold, forwarding_reason::waiting, nullptr, {}};
     case admission_verdict::refuse:
       return refuse(s, forwarding_reason::overloaded, {});
     default:
@@ -199,8 +196,7 @@
     return refuse(s, forwarding_reason::no_route, {});
   if (flows_.count(key_of(s)) != 0) {
     // A copy was placed meanwhile.
-    return {
-        forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
+    return {forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
   }
   return open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
@@ -234,8 +230,7 @@
     admission_.on_started(now, *service);
 }
 
-void forwarding_core::adapt_admission(time_us now,
-                                      const std::string& service) {
+void forwarding_core::adapt_admission(time_us now, const std::string& service) {
   const double share = loads_.delayed_share(now, service);
   const service_load load = loads_.load(now, service);
   if (options_.admission.enabled)
@@ -532,6 +527,10 @@
       !repeated && target != nullptr && may_be_full(now, *target);
   counters_.reports_withheld += flow->report_withheld ? 1 : 0;
   set_in_flight(now, flow, nullptr);
+  if (flow->report_withheld) {
+    loads_.add_reset(now, target->entry.service);
+    adapt_admission(now, target->entry.service);
+  }
   if (target != nullptr) {
     placement_.on_unanswered(now, *target, flow->opened,
                              !flow->report_withheld);
--- a/packages/coordination/src/overload/load_monitor.cpp
+++ b/packages/coordination/src/overload/load_monitor.cpp
@@ -33,6 +33,20 @@
   times->updated = now;
 }
 
+void load_monitor::count_answer(time_us now,
+                                bool delayed,
+                                service_answers* answers) const {
+  const bool stale = now - answers->last > options_.max_age;
+  answers->count = stale ? 1 : std::min(answers->count + 1, options_.recent);
+  answers->delayed = (stale ? 0 : answers->delayed << 1) | (delayed ? 1 : 0);
+  answers->last = now;
+}
+
+void load_monitor::add_reset(time_us now, const std::string& service) {
+  if (load(now, service) != service_load::normal)
+    count_answer(now, true, &services_[service]);
+}
+
 double load_monitor::add(time_us now,
                          const std::string& service,
                          const endpoint& route,
@@ -51,12 +65,7 @@
   }
   if (ratio == 0.0)
     return ratio;
-  service_answers& answers = services_[service];
-  const bool stale = now - answers.last > options_.max_age;
-  answers.count = stale ? 1 : std::min(answers.count + 1, options_.recent);
-  answers.delayed = (stale ? 0 : answers.delayed << 1) |
-                    (ratio >= options_.delayed_ratio ? 1 : 0);
-  answers.last = now;
+  count_answer(now, ratio >= options_.delayed_ratio, &services_[service]);
   return ratio;
 }
 
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -61,12 +61,11 @@
              {{"service", s.name}});
   }
   for (const auto& s : snapshot.services) {
-    out->add(metric::admission_limit, s.admission.limit,
-             {{"service", s.name}});
+    out->add(metric::admission_limit, s.admission.limit, {{"service", s.name}});
   }
   for (const auto& s : snapshot.services) {
-    out->add(metric::openings_waiting,
-             static_cast<double>(s.admission.waiting), {{"service", s.name}});
+    out->add(metric::openings_waiting, static_cast<double>(s.admission.waiting),
+             {{"service", s.name}});
   }
 }
 
