Feature: the emulator can overload its targets

Balancers had no test under load above the capacity of the targets, or with targets of unequal speed, as two users have them (docs/design/overload.md).

The emulator gets priorities of request classes, speeds and uneven zones of targets, bursts, callers with an address of their own (one of them greedy), targets that reset openings while they are full, a silent target as a disruption, and overload_control, which makes balancers detect full targets and learn weights (--overload of emulate). Its report counts attempts, those rejected by full targets, refusals with their times, and outcomes by caller.

--- a/tests/emulator/emu_recovery.cpp
+++ b/tests/emulator/emu_recovery.cpp
@@ -53,7 +53,7 @@
   return out;
 }
 
-bool print_recoveries(uint64_t seed, uint64_t runs) {
+bool print_recoveries(uint64_t seed, uint64_t runs, bool overload_control) {
   fmt::print(
       "| trouble | runs | least share in half a second, median and worst | "
       "ms to nine tenths, median and worst | never |\n"
@@ -65,7 +65,8 @@
     std::vector<time_us> after;
     uint64_t never = 0;
     for (uint64_t run = 0; run < runs; ++run) {
-      const emu_options options = single_disruption_run(seed + run, trouble);
+      emu_options options = single_disruption_run(seed + run, trouble);
+      options.overload_control = overload_control;
       emu_world world(options);
       const emu_recovery r = recovery_of(world.run(), options.events.front());
       least.push_back(r.min_share);
--- a/tests/emulator/emu_recovery.h
+++ b/tests/emulator/emu_recovery.h
@@ -21,8 +21,9 @@
 
 /** Runs each disruption alone and prints a Markdown table.
  * @param runs Number of seeds for each disruption.
+ * @param overload_control See emu_options.
  * @return Whether service recovered within two seconds each time. */
-bool print_recoveries(uint64_t seed, uint64_t runs);
+bool print_recoveries(uint64_t seed, uint64_t runs, bool overload_control);
 
 }  // namespace turmeric::tests
 
--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -11,6 +11,11 @@
 constexpr time_us min_retransmit_wait = 200 * us_per_ms;
 constexpr time_us max_retransmit_wait = 1600 * us_per_ms;
 constexpr int max_attempts = 3;
+/** Time after which a target drops an opening without further segments; its
+ * caller has got the answer of another target or has given up. */
+constexpr time_us half_open_time = 400 * us_per_ms;
+constexpr uint32_t first_port = 1024;
+constexpr uint32_t port_count = 65536 - first_port;
 constexpr double cold_work_factor = 1.6;
 constexpr double slow_work_factor = 8;
 /** Share of the packets that a lossy link loses. */
@@ -22,19 +27,28 @@
 
 void emu_world::issue_request() {
   const emu_shape& shape = options_.shape;
-  const time_us gap = static_cast<time_us>(us_per_s / shape.requests_per_s);
+  if (options_.drain_time != 0 && clock_.now() >= first_request_at_ +
+                                                      options_.duration -
+                                                      options_.drain_time)
+    return;
+  double total = 0;
+  double usual_total = 0;
+  for (const auto& kind : shape.request_classes) {
+    total += weight_of(kind);
+    usual_total += kind.weight;
+  }
+  const time_us gap = static_cast<time_us>(
+      us_per_s / (shape.requests_per_s * (total / usual_total)));
   clock_.after(1 + static_cast<time_us>(random() % (2 * gap)),
                [this] { issue_request(); });
-  double total = 0;
-  for (const auto& kind : shape.request_classes)
-    total += kind.weight;
   request r;
   r.number = next_number_++;
   double point = static_cast<double>(random() % 1000000) / 1e6 * total;
   while (r.class_index + 1 < shape.request_classes.size() &&
-         point >= shape.request_classes[r.class_index].weight)
-    point -= shape.request_classes[r.class_index++].weight;
+         point >= weight_of(shape.request_classes[r.class_index]))
+    point -= weight_of(shape.request_classes[r.class_index++]);
   r.zone = shape.uneven_callers && chance(0.5) ? 0 : random() % shape.zones;
+  choose_caller(&r);
   r.issued_at = clock_.now();
   ++report_.outcomes[r.class_index].requests;
   requests_[r.number] = r;
@@ -47,9 +61,31 @@
   start_attempt(r.number);
 }
 
+double emu_world::weight_of(const emu_request_class& kind) const {
+  const time_us time = clock_.now() - first_request_at_;
+  double weight = kind.weight;
+  for (const auto& burst : options_.shape.bursts) {
+    if (time >= burst.start && time < burst.start + burst.duration &&
+        (burst.request_class.empty() || burst.request_class == kind.name))
+      weight *= burst.factor;
+  }
+  return weight;
+}
+
+void emu_world::choose_caller(request* r) {
+  const emu_shape& shape = options_.shape;
+  if (shape.greedy_share > 0 && chance(shape.greedy_share))
+    r->caller = 1;
+  else if (shape.callers != 0)
+    r->caller = 2 + random() % shape.callers;
+  if (r->caller != 0)
+    r->zone = r->caller % shape.zones;
+}
+
 void emu_world::start_attempt(uint64_t request_number) {
   request& r = requests_.at(request_number);
   ++r.attempts;
+  ++report_.attempts;
   flow f;
   f.number = next_number_++;
   f.request = r.number;
@@ -62,6 +98,11 @@
     f.header.source.ip = static_cast<uint32_t>(0x64800000 + r.stream);
     streams_[r.stream].flow = f.number;
   }
+  if (r.caller != 0) {
+    const uint32_t port = first_port + caller_ports_[r.caller]++ % port_count;
+    f.header.source = {static_cast<uint32_t>(0x64c00000 + r.caller),
+                       static_cast<uint16_t>(port)};
+  }
   const uint64_t number = f.number;
   flows_[number] = std::move(f);
   send_opening(number, 0);
@@ -132,6 +173,8 @@
   if (decision.action == forwarding_action::reset) {
     ++report_.refused;
     report_.resets += s.flags.opens ? 0 : 1;
+    if (s.flags.opens)
+      report_.refusal_times.push_back(clock_.now() - arrived);
     clock_.after(
         options_.shape.caller_latency,
         [this, flow_number, by = b->name] { on_reset(flow_number, by); });
@@ -162,6 +205,8 @@
   if (it == addresses_.end())
     return;
   target* t = it->second;
+  if (t->silences != 0)
+    return;
   if (!t->alive) {
     if (t->host_resets)
       schedule_at_caller(
@@ -191,15 +236,48 @@
   check_opening(*from, t, flow_number, s);
   if (t->service == options_.shape.services[0].name)
     ++openings_by_second_[clock_.now() / us_per_s][t->name];
+  if (reset_if_full(*t, flow_number))
+    return;
   auto [it, added] = t->flows.try_emplace(flow_number);
   if (added)
     it->second.sequence = static_cast<uint32_t>(random() | 1);
+  if (added && options_.shape.max_held_flows != 0) {
+    set_held(t, flow_number, true);
+    clock_.after(half_open_time, [t, flow_number] {
+      const auto half_open = t->flows.find(flow_number);
+      if (half_open != t->flows.end() && !half_open->second.open)
+        set_held(t, flow_number, false);
+    });
+  }
   schedule_at_caller(
       *t, [this, flow_number, sequence = it->second.sequence, token = s.token] {
         on_connected(flow_number, sequence, token);
       });
 }
 
+void emu_world::set_held(target* t, uint64_t flow_number, bool held) {
+  const auto it = t->flows.find(flow_number);
+  if (it == t->flows.end() || it->second.held == held)
+    return;
+  it->second.held = held;
+  t->held_flows += held ? 1 : -1;
+}
+
+bool emu_world::reset_if_full(const target& t, uint64_t flow_number) {
+  const size_t most = options_.shape.max_held_flows;
+  if (most == 0 || t.held_flows < most || t.flows.count(flow_number) != 0)
+    return false;
+  schedule_at_caller(t, [this, flow_number, by = t.name] {
+    // A caller ignores it once another target has answered a copy.
+    const auto it = flows_.find(flow_number);
+    if (it == flows_.end() || it->second.ended || it->second.connected)
+      return;
+    ++report_.rejected_openings;
+    on_reset(flow_number, by);
+  });
+  return true;
+}
+
 void emu_world::on_connected(uint64_t flow_number,
                              uint32_t sequence,
                              flow_token token) {
@@ -273,6 +351,7 @@
 }
 
 void emu_world::accept_request(target* t, uint64_t flow_number) {
+  set_held(t, flow_number, true);
   if (t->busy_slots < options_.shape.slots) {
     start_work(t, flow_number);
   } else if (t->queued_work.size() < options_.shape.queue_capacity) {
@@ -280,6 +359,8 @@
         [this, t, flow_number] { start_work(t, flow_number); });
   } else {
     // The target's queue is full; it reports the request as not run.
+    ++report_.rejected_requests;
+    set_held(t, flow_number, false);
     schedule_at_caller(
         *t, [this, flow_number] { fail_attempt(flow_number, false); });
   }
@@ -302,6 +383,7 @@
   if (t->slowdowns != 0)
     needed =
         static_cast<time_us>(static_cast<double>(needed) * slow_work_factor);
+  needed = static_cast<time_us>(static_cast<double>(needed) / t->speed);
   // A first part of the response arrives earlier and is acknowledged.
   clock_.after(needed / 2 + options_.shape.caller_latency,
                [this, flow_number] { send_acknowledgement(flow_number); });
@@ -316,6 +398,7 @@
   if (t->busy_slots != 0)
     --t->busy_slots;
   const auto it = t->flows.find(flow_number);
+  set_held(t, flow_number, false);
   if (it != t->flows.end()) {
     it->second.served = true;
     schedule_at_caller(*t, [this, flow_number, token = token_of(t->name),
@@ -413,6 +496,11 @@
   if (r->stream != 0)
     count_stream_request(*r, served, in_time);
   (in_time ? out.in_time : served ? out.late : out.failed) += 1;
+  if (r->caller != 0) {
+    emu_outcome& caller = report_.callers.at(r->caller - 1);
+    ++caller.requests;
+    (in_time ? caller.in_time : served ? caller.late : caller.failed) += 1;
+  }
   const auto note = [&](time_us width, auto* bins) {
     const auto bin =
         static_cast<size_t>((r->issued_at - first_request_at_) / width);
@@ -425,7 +513,7 @@
   note(us_per_s / 10, &report_.by_tenth_second);
   for (auto it = flows_.begin(); it != flows_.end();) {
     // Erases old flows: numbers ascend, and few requests are open at once.
-    if (it->second.number + 20000 > next_number_)
+    if (it->second.number + options_.shape.flow_history > next_number_)
       break;
     const bool kept = it->second.stream != 0 && !it->second.ended;
     it = kept ? std::next(it) : flows_.erase(it);
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -57,6 +57,10 @@
   t->last_heartbeat = t->started = clock_.now();
   // Targets of the set-up are warm: they start before the traffic.
   t->cold_until = balancers_.empty() ? 0 : clock_.now() + cold_time;
+  for (const auto& row : options_.shape.services) {
+    if (row.name == service && !row.speeds.empty())
+      t->speed = row.speeds[targets_started_[service]++ % row.speeds.size()];
+  }
   target* raw = t.get();
   targets_[raw->name] = std::move(t);
   addresses_[address] = raw;
@@ -241,6 +245,11 @@
     counts = {&chosen->slowdowns};
     clock_.after(event.duration,
                  [this, chosen] { chosen->disturbed_at = clock_.now(); });
+  } else if (event.kind == emu_disruption::target_silent) {
+    if (target* t = pick_target(event.selector)) {
+      counts = {&t->silences};
+      t->disturbed_at = clock_.now() + event.duration;
+    }
   } else if (event.kind == emu_disruption::target_slow) {
     if (target* t = pick_target(event.selector))
       counts = {&t->slowdowns};
@@ -447,6 +456,7 @@
   t->flows.clear();
   t->queued_work.clear();
   t->busy_slots = 0;
+  t->held_flows = 0;
   if (event.kind == emu_disruption::target_restart) {
     clock_.after(event.duration, [this, t, name] {
       t->alive = true;
--- a/tests/emulator/emu_types.cpp
+++ b/tests/emulator/emu_types.cpp
@@ -14,7 +14,8 @@
         "store-silent",  "store-refuses",  "store-forgets",   "target-crash",
         "target-reset",  "target-restart", "target-replace",  "target-drain",
         "withdraw",      "configure",      "overwrite",       "store-restore",
-        "lossy-link",    "lossy-zone",     "target-slow",     "balancer-slow"};
+        "lossy-link",    "lossy-zone",     "target-slow",     "balancer-slow",
+        "target-silent"};
 constexpr std::array<std::string_view,
                      static_cast<size_t>(emu_injected_fault::end)>
     plant_names = {"none",
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -61,6 +61,8 @@
   target_slow,  ///< Takes eight times as long for its work.
   // Drawn for large fleets only.
   balancer_slow,  ///< Takes some milliseconds for each packet and message.
+  // Not drawn.
+  target_silent,  ///< Gets no packets; its heartbeats still arrive.
   end
 };
 
@@ -103,12 +105,26 @@
   time_us mean_work = 15 * us_per_ms;  ///< Mean; uniform within half of it.
   time_us latency_objective = 100 * us_per_ms;
   time_us deadline = 500 * us_per_ms;
+  uint32_t priority = 0;  ///< Of its route; 0 is the highest.
 };
 
 /** A service; its targets are spread over the zones round-robin. */
 struct emu_service {
   std::string name;
   size_t targets = 0;
+  /** Given to the targets in turn; work takes its usual time divided by the
+   * speed. Empty: 1 for all. */
+  std::vector<double> speeds = {};
+  /** Targets in each zone instead of round-robin; their sum is `targets`. */
+  std::vector<size_t> zone_targets = {};
+};
+
+/** A time in which the request rate is multiplied by a factor. */
+struct emu_burst {
+  time_us start = 0;  ///< From the first request on.
+  time_us duration = 0;
+  double factor = 1.0;        ///< Above 0.
+  std::string request_class;  ///< Empty: all classes.
 };
 
 /** Size, load and latencies of an installation. */
@@ -123,8 +139,20 @@
       {"download", "archive", true, 0.6, 5 * us_per_ms, 500 * us_per_ms,
        3 * us_per_s}};
   double requests_per_s = 400.0;  ///< All callers together.
+  std::vector<emu_burst> bursts;
+  /** Share of the requests that come from one caller, which has one address
+   * and is in one zone. */
+  double greedy_share = 0.0;
+  /** Further callers of the same kind, with equal shares of the other requests.
+   * 0: each of these requests comes from another address. A caller has 64,512
+   * ports, so that its flows must be fewer in 1.5 s, or balancers take openings
+   * for copies of earlier ones. */
+  size_t callers = 0;
   uint32_t slots = 2;
   size_t queue_capacity = 8;
+  /** A target resets openings while it holds this many flows that await their
+   * request or its answer. 0: it never does. */
+  size_t max_held_flows = 0;
   time_us zone_latency = 100;
   time_us cross_zone_latency = 1400;
   time_us caller_latency = us_per_ms;
@@ -138,6 +166,9 @@
    * with pauses in between. */
   size_t streams = 0;
   time_us stream_pause = us_per_s;  ///< Mean; uniform up to twice of it.
+  /** Requests and flows, together, after which the emulator forgets a flow.
+   * Must be above the number within a flow's life. */
+  size_t flow_history = 20000;
 };
 
 /** A run. */
@@ -146,6 +177,11 @@
   uint64_t seed = 1;
   time_us warm_up = 4 * us_per_s;  ///< Time before the first request.
   time_us duration = 20 * us_per_s;
+  /** Time without new requests at the end of `duration`, in which those under
+   * way end. */
+  time_us drain_time = 0;
+  /** Whether balancers detect full targets and learn weights of targets. */
+  bool overload_control = false;
   std::vector<emu_event> events;
   emu_injected_fault injected_fault = emu_injected_fault::none;
   std::string followed_target;  ///< Target to report on, or empty.
@@ -176,6 +212,16 @@
   std::vector<emu_violation> violations;
   std::vector<emu_outcome> outcomes;  ///< One per request class, in its order.
   emu_outcome streams;  ///< Requests of streams, also in `outcomes`.
+  /** Of callers with an address of their own, also in `outcomes`: first the
+   * greedy one, then the further ones. */
+  std::vector<emu_outcome> callers;
+  uint64_t attempts = 0;
+  /** Attempts that full targets rejected as not run, and by a reset of the
+   * opening. */
+  uint64_t rejected_requests = 0;
+  uint64_t rejected_openings = 0;
+  /** Times from the arrivals of openings at balancers to their refusals. */
+  std::vector<time_us> refusal_times;
   uint64_t resets = 0;  ///< Of open flows, by balancers.
   uint64_t openings = 0;
   uint64_t refused = 0;
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -29,6 +29,8 @@
 emu_world::emu_world(emu_options options)
     : options_(std::move(options)), random_(options_.seed), store_(&clock_) {
   report_.outcomes.resize(options_.shape.request_classes.size());
+  if (options_.shape.greedy_share > 0 || options_.shape.callers != 0)
+    report_.callers.resize(1 + options_.shape.callers);
 }
 
 emu_world::~emu_world() = default;
@@ -48,18 +50,24 @@
                      static_cast<uint16_t>(8000 + routing_.routes.size())};
     route.kind = kind.safe ? route_kind::safe : route_kind::unsafe;
     route.services = {{kind.service, 1}};
+    route.priority = kind.priority;
+    route.latency_objective = kind.latency_objective;
     routing_.routes.push_back(route);
   }
   for (const auto& service : shape.services)
     routing_.services.push_back({service.name, 2000, 0.0});
   store_.put(directory_kind::routing, "main", routing_);
   routing_versions_.emplace_back(routing_.version, clock_.now());
-  size_t zone = 0;
+  size_t next_zone = 0;
   for (const auto& service : shape.services) {
+    std::vector<size_t> zones;
+    for (size_t zone = 0; zone < service.zone_targets.size(); ++zone)
+      zones.insert(zones.end(), service.zone_targets[zone], zone);
     for (size_t i = 0; i < service.targets; ++i) {
-      add_target(service.name, zone, {0x0a800000 + next_address_, 8080});
+      add_target(service.name, zones.empty() ? next_zone : zones.at(i),
+                 {0x0a800000 + next_address_, 8080});
       ++next_address_;
-      zone = (zone + 1) % shape.zones;
+      next_zone = (next_zone + 1) % shape.zones;
     }
   }
   for (size_t i = 0; i < shape.balancers; ++i) {
@@ -127,6 +135,9 @@
   forwarding_options forwarding;
   forwarding.placing.zone = zone_name(b->zone);
   forwarding.log_one_in = 0;
+  forwarding.detect_full_targets = options_.overload_control;
+  forwarding.placing.learn_weights = options_.overload_control;
+  // TODO: set forwarding.admission from overload_control.
   if (options_.make_placement_hook)
     forwarding.placing.pick = options_.make_placement_hook(b->number);
   b->forwarding = std::make_unique<forwarding_core>(forwarding, source);
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -55,6 +55,7 @@
     uint32_t sequence = 0;  ///< Of the target's end.
     bool open = false;
     bool served = false;
+    bool held = false;              ///< Counted in `held_flows`.
     uint32_t request_sequence = 0;  ///< Of the last request.
   };
   struct target {
@@ -74,7 +75,10 @@
     time_us started = 0;      ///< Of its process.
     bool must_write = false;  ///< The store may have lost its entry's value.
     int slowdowns = 0;        ///< Disruptions by which its work takes longer.
+    int silences = 0;         ///< Disruptions by which it gets no packets.
+    double speed = 1.0;
     uint32_t busy_slots = 0;
+    size_t held_flows = 0;  ///< Flows that await their request or its answer.
     std::deque<std::function<void()>> queued_work;
     std::map<uint64_t, target_flow> flows;  ///< By the flow's number.
     std::deque<time_us> cold_openings;      ///< While it is cold.
@@ -106,6 +110,7 @@
     bool ended = false;
     bool may_have_run = false;
     uint64_t stream = 0;  ///< Its stream's number; 0 if it has none.
+    size_t caller = 0;    ///< 1: the greedy one; 0: has no address of its own.
   };
   /** A caller with a long flow. */
   struct stream {
@@ -138,6 +143,10 @@
 
   // emu_traffic.cpp: callers and targets.
   void issue_request();
+  /** @return The weight of a request class at this time. */
+  double weight_of(const emu_request_class& kind) const;
+  /** Chooses the caller of a request, and thereby its zone. */
+  void choose_caller(request* r);
   void start_attempt(uint64_t request_number);
   void send_opening(uint64_t flow_number, uint32_t copy);
   void send_segment(const flow& f, segment s);
@@ -157,6 +166,11 @@
                        target* t,
                        uint64_t flow_number,
                        const segment& s);
+  /** Counts a flow of a target as held, or no longer. */
+  static void set_held(target* t, uint64_t flow_number, bool held);
+  /** Resets an opening for which the target is too full.
+   * @return Whether it did. */
+  bool reset_if_full(const target& t, uint64_t flow_number);
   void receive_data(target* t, uint64_t flow_number, const segment& s);
   void start_work(target* t, uint64_t flow_number);
   void finish_work(target* t, uint64_t flow_number);
@@ -257,8 +271,10 @@
   std::map<uint64_t, stream> streams_;
   uint64_t next_number_ = 1;
   uint32_t next_address_ = 1;
-  time_us first_request_at_ = 0;  ///< Of the first request.
-  time_us last_event_end_ = 0;    ///< End of the last disruption.
+  std::map<size_t, uint32_t> caller_ports_;        ///< Used so far, by caller.
+  std::map<std::string, size_t> targets_started_;  ///< By service.
+  time_us first_request_at_ = 0;                   ///< Of the first request.
+  time_us last_event_end_ = 0;  ///< End of the last disruption.
   /** Openings of the first service by second and target. */
   std::map<time_us, std::map<std::string, uint64_t>> openings_by_second_;
   emu_report report_;
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -22,6 +22,7 @@
     "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
     "               [--balancers N]\n"
     "               [--targets N] [--reads N] [--recovery] [--large]\n"
+    "               [--overload]\n"
     "\n"
     "Runs installations in virtual time, from seed N on, and prints violated\n"
     "promises.\n"
@@ -47,7 +48,9 @@
     "                      service recovers\n"
     "  -G, --large         a large fleet with long flows and many restarts; "
     "some\n"
-    "                      balancers have lossy links, or the trouble given\n";
+    "                      balancers have lossy links, or the trouble given\n"
+    "  -O, --overload      balancers detect full targets and learn weights of\n"
+    "                      targets\n";
 
 struct command_line {
   uint64_t seed = 1;
@@ -60,6 +63,7 @@
   bool report = false;
   bool recovery = false;
   bool large = false;
+  bool overload = false;
   std::string follow;
   size_t balancers = 0;  ///< 0: drawn from the seed.
   size_t targets = 0;    ///< 0: the default.
@@ -102,6 +106,7 @@
 
 /** Applies the sizes given on the command line. */
 emu_options sized(const command_line& line, emu_options options) {
+  options.overload_control = line.overload;
   if (line.balancers != 0)
     options.shape.balancers = line.balancers;
   if (line.targets != 0)
@@ -125,6 +130,11 @@
       "{}\n",
       seed, report.openings, report.refused, report.registry_calls,
       report.peer_messages);
+  if (options.overload_control) {
+    fmt::print("seed {}: attempts {} rejected by full targets {}\n", seed,
+               report.attempts,
+               report.rejected_requests + report.rejected_openings);
+  }
   if (options.shape.streams != 0) {
     const emu_outcome& c = report.streams;
     fmt::print("seed {} streams: asked {} in time {} late {} failed {}\n", seed,
@@ -218,10 +228,11 @@
                             {"reads", required_argument, nullptr, 'S'},
                             {"recovery", no_argument, nullptr, 'R'},
                             {"large", no_argument, nullptr, 'G'},
+                            {"overload", no_argument, nullptr, 'O'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:L:o:p:f:B:T:S:lrRGh",
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:L:o:p:f:B:T:S:lrRGOh",
                                    options, nullptr)) != -1;) {
     switch (c) {
       case 's':
@@ -267,6 +278,9 @@
       case 'G':
         line.large = true;
         break;
+      case 'O':
+        line.overload = true;
+        break;
       case 'r':
         line.report = true;
         break;
@@ -280,7 +294,7 @@
     return 2;
   }
   if (line.recovery)
-    return print_recoveries(line.seed, line.runs) ? 0 : 1;
+    return print_recoveries(line.seed, line.runs, line.overload) ? 0 : 1;
   const uint64_t broken = play(line);
   fmt::print("{} of {} runs broke a promise\n", broken, line.runs);
   return broken == 0 ? 0 : 1;
