--- a/tests/emulator/emu_traffic.cpp
+++ b/tests/emulator/emu_traffic.cpp
@@ -147,6 +147,9 @@
     return;
   forwarding_decision decision =
       b->forwarding->on_segment(clock_.now(), s, clock_.now() - arrived);
+  if (decision.action == forwarding_action::hold)
+    b->held[key_of(s)] = {flow_number, arrived};
+  send_deferred(b);
   schedule_forwarding_tick(b);
   forward_reports(b);
   const auto sender = flows_.find(flow_number);
@@ -170,6 +173,26 @@
     if (options_.injected_fault == emu_injected_fault::reset_open_flows)
       decision.action = forwarding_action::reset;
   }
+  apply_decision(b, flow_number, arrived, s, decision);
+}
+
+void emu_world::send_deferred(balancer* b) {
+  for (const auto& [opening, decision] :
+       b->forwarding->take_deferred(clock_.now())) {
+    const auto held = b->held.find(key_of(opening));
+    if (held == b->held.end())
+      continue;
+    const auto [flow_number, arrived] = held->second;
+    b->held.erase(held);
+    apply_decision(b, flow_number, arrived, opening, decision);
+  }
+}
+
+void emu_world::apply_decision(balancer* b,
+                               uint64_t flow_number,
+                               time_us arrived,
+                               segment s,
+                               const forwarding_decision& decision) {
   if (decision.action == forwarding_action::reset) {
     ++report_.refused;
     report_.resets += s.flags.opens ? 0 : 1;
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -132,12 +132,14 @@
         balancers_[i * (balancers_.size() - 1) / 2 % balancers_.size()]
             ->address);
   b->directory = std::make_unique<directory_core>(directory, source);
+  b->held.clear();
   forwarding_options forwarding;
   forwarding.placing.zone = zone_name(b->zone);
   forwarding.log_one_in = 0;
   forwarding.detect_full_targets = options_.overload_control;
   forwarding.placing.learn_weights = options_.overload_control;
-  // TODO: set forwarding.admission from overload_control.
+  forwarding.admission.enabled = options_.overload_control;
+  forwarding.admission.fair_shares = options_.overload_control;
   if (options_.make_placement_hook)
     forwarding.placing.pick = options_.make_placement_hook(b->number);
   b->forwarding = std::make_unique<forwarding_core>(forwarding, source);
@@ -222,7 +224,14 @@
                    return;
                  run_on_balancer(b, [this, b] {
                    b->forwarding->tick(clock_.now());
+                   send_deferred(b);
                    forward_reports(b);
+                   // Once only: each segment schedules a tick as well.
+                   if (!b->held.empty() && b->deferred_tick <= clock_.now()) {
+                     b->deferred_tick = std::max(b->forwarding->next_tick(),
+                                                 clock_.now() + us_per_ms);
+                     schedule_forwarding_tick(b);
+                   }
                  });
                });
 }
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <unordered_map>
 
 #include "emu_store.h"
 #include "turmeric/coordination/directory_core_base.h"
@@ -50,6 +51,10 @@
     std::unique_ptr<forwarding_core> forwarding;
     std::shared_ptr<const forwarding_table> table;
     std::deque<sim_clock::event> backlog;  ///< While it is frozen.
+    /** Flows whose opening is held, and when it arrived. */
+    std::unordered_map<flow_key, std::pair<uint64_t, time_us>, flow_key_hash>
+        held;
+    time_us deferred_tick = 0;  ///< Next tick for these.
   };
   struct target_flow {
     uint32_t sequence = 0;  ///< Of the target's end.
@@ -150,6 +155,13 @@
   void start_attempt(uint64_t request_number);
   void send_opening(uint64_t flow_number, uint32_t copy);
   void send_segment(const flow& f, segment s);
+  /** Executes the decisions on openings whose wait has ended. */
+  void send_deferred(balancer* b);
+  void apply_decision(balancer* b,
+                      uint64_t flow_number,
+                      time_us arrived,
+                      segment s,
+                      const forwarding_decision& decision);
   void receive_at_balancer(balancer* b,
                            uint64_t flow_number,
                            time_us arrived,
