--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -182,6 +182,8 @@
   time_us drain_time = 0;
   /** Whether balancers detect full targets and learn weights of targets. */
   bool overload_control = false;
+  /** Whether, with overload control, all targets keep equal weights. */
+  bool equal_weights = false;
   std::vector<emu_event> events;
   emu_injected_fault injected_fault = emu_injected_fault::none;
   std::string followed_target;  ///< Target to report on, or empty.
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -136,7 +136,8 @@
   forwarding.placing.zone = zone_name(b->zone);
   forwarding.log_one_in = 0;
   forwarding.detect_full_targets = options_.overload_control;
-  forwarding.placing.learn_weights = options_.overload_control;
+  forwarding.placing.learn_weights =
+      options_.overload_control && !options_.equal_weights;
   // TODO: set forwarding.admission from overload_control.
   if (options_.make_placement_hook)
     forwarding.placing.pick = options_.make_placement_hook(b->number);
