--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -137,6 +137,7 @@
   forwarding.placing.zone = zone_name(b->zone);
   forwarding.log_one_in = 0;
   forwarding.detect_full_targets = options_.overload_control;
+  forwarding.detect_full_targets = options_.overload_control;
   forwarding.placing.learn_weights = options_.overload_control;
   forwarding.admission.enabled = options_.overload_control;
   forwarding.admission.fair_shares = options_.overload_control;
