Codechange: split the soak's sources by subject

Change: callers, targets, texts for balancers, and a run each have a source of their own; nothing else changes.

--- /dev/null
+++ b/tests/soak/soak_settings.cpp
@@ -0,0 +1,68 @@
+/** @file soak_settings.cpp Settings, routing configuration and load. */
+#include "soak_settings.h"
+
+#include <fmt/format.h>
+
+#include "turmeric/state/service_type.h"
+
+namespace turmeric::tests {
+namespace {
+
+constexpr uint32_t first_balancer_ip = 0x7f0a0001;  // 127.10.0.1
+
+}  // namespace
+
+soak_load load_of(const soak_options& options) {
+  constexpr time_us default_open_interval = 5 * us_per_ms;
+  constexpr size_t default_long_flows = 24;
+  if (!options.large())
+    return {default_open_interval, default_long_flows, 0, options.plant};
+  // The two slots of a target are busy for three quarters of the time, half of
+  // it for short flows, so that some requests wait.
+  constexpr int64_t openings_per_target = 12;
+  constexpr size_t long_flows_per_target = 5;
+  const auto targets = static_cast<int64_t>(options.targets());
+  return {us_per_s / (openings_per_target * targets),
+          long_flows_per_target * options.targets(), 80 * us_per_ms,
+          options.plant};
+}
+
+endpoint balancer_address(size_t i, uint16_t port) {
+  return {first_balancer_ip + static_cast<uint32_t>(i), port};
+}
+
+std::string routing_text(int version) {
+  return fmt::format(
+      R"({{"version":{},"routes":[{{"name":"r","host":"198.18.0.1",)"
+      R"("path_prefix":"/443/","route_type":"safe","service":"notes"}}],)"
+      R"("services":[{{"name":"notes","max_conns":2000}}],)"
+      R"("limits":{{"idle_timeout_ms":15000}}}})",
+      version);
+}
+
+std::string target_text(endpoint address, size_t i, bool draining) {
+  return fmt::format(
+      R"({{"service":"notes","address":"{}","zone":"zone-{}","slots":2,)"
+      R"("state":"{}","cold_left_ms":0,"seq":1}})",
+      to_text(address), i % 2, draining ? "draining" : "ready");
+}
+
+std::string settings_text(size_t i,
+                          uint16_t port_offset,
+                          uint16_t registry_port,
+                          time_us stop_grace) {
+  const auto address = [port_offset](size_t balancer, uint16_t first_port) {
+    return to_text(balancer_address(
+        balancer, static_cast<uint16_t>(first_port + port_offset)));
+  };
+  return fmt::format(
+      "[instance]\nmode = forwarding\nname = b{}\nzone = zone-{}\n"
+      "cluster = soak\nkey = {:064x}\n[forwarding]\npackets = {}\n"
+      "ready = {}\npeers = {}\nseeds = {}\nregistry = 127.0.0.1:{}\n"
+      "grace = {}\n",
+      i, i % 2, 42, address(i, first_packet_port), address(i, first_ready_port),
+      address(i, first_peer_port), address(0, first_peer_port), registry_port,
+      stop_grace / us_per_s);
+}
+
+}  // namespace turmeric::tests
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -114,6 +114,8 @@
   uint64_t violations = 0;  ///< Broken guarantees.
   /** The first violations of a run, in words. */
   std::vector<std::string> violation_texts;
+
+  soak_counts& operator+=(const soak_counts& more);
 };
 
 /** Fault injected to show that the checks find it. `reset_open_flow`: resets of
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -1,4 +1,5 @@
-/** @file soak_traffic.cpp Targets and callers on one thread. */
+/** @file soak_traffic.cpp The thread of targets and callers, their sockets and
+ * packets. */
 #include <fmt/format.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -8,6 +9,7 @@
 #include <cstdlib>
 
 #include "soak_site.h"
+#include "soak_traffic_internal.h"
 #include "turmeric/platform/segment_func.h"
 #include "turmeric/state/service_type.h"
 #include "turmeric/transport/clock_func.h"
@@ -16,47 +18,10 @@
 namespace turmeric::tests {
 namespace {
 
-constexpr uint32_t first_caller_ip = 0x7f0a0201;  // 127.10.2.1 and on
-constexpr uint32_t first_target_ip = 0x7f0a0101;  // 127.10.1.1 and on
-constexpr size_t caller_count = 16;
 constexpr uint16_t max_port_offset = 50;
-constexpr endpoint route_address{0xc6120001, 443};
 constexpr int receive_buffer_bytes = 1 << 20;
-constexpr time_us scan_interval = 5 * us_per_ms;
-constexpr time_us long_open_interval = 2 * us_per_ms;
-/** Openings that are made up for at a time if the thread was delayed. */
-constexpr int max_openings_per_pass = 20;
-/** An opening's copies are sent at these times after it. */
-constexpr std::array<time_us, 2> opening_copies = {200 * us_per_ms,
-                                                   600 * us_per_ms};
-constexpr time_us retransmit_interval = 200 * us_per_ms;
-constexpr time_us max_retransmit_interval = 1600 * us_per_ms;
-constexpr time_us flow_timeout = us_per_s;
-constexpr time_us long_opening_timeout = 1400 * us_per_ms;
-/** Time for a request of a long flow. */
-constexpr time_us request_timeout = 8 * us_per_s;
-/** Below the balancers' setting max_flow. */
-constexpr time_us max_flow_age = 45 * us_per_s;
 constexpr size_t target_slots = 2;
-/** Longer queues take no requests. */
-constexpr time_us max_queue_time = us_per_s;
-constexpr time_us max_service_time = us_per_s;
-constexpr size_t request_bytes = 64;
-constexpr size_t response_bytes = 256;
-/** First byte of the data of a flow's last request. */
-constexpr uint8_t closing_mark = 1;
-/** Openings may reach a target for this long after it began to drain. */
-constexpr time_us drain_grace = 3 * us_per_s;
-/** That bound holds once no fault has been active for this long, since
- * balancers need this time to be in touch with the registry and each other
- * again. */
-constexpr time_us recovery_time = 4 * us_per_s;
-/** Number of the first target. A target's number is in its name, in hex, and in
- * the prefix of the packets that balancers send to it. */
-constexpr uint64_t first_target_number = 0xa0;
 constexpr size_t max_described_violations = 20;
-/** Requests of long flows for each injected fault. */
-constexpr uint64_t plant_interval = 100;
 
 /** @return An invalid descriptor if the address is in use. */
 file_descriptor bind_udp(endpoint e) {
@@ -87,9 +52,9 @@
   put_16(p + 2, static_cast<uint16_t>(v));
 }
 
-/** @return @p s as a packet; its data are zeros after @p first_byte. The keyed
- * checksum is left out, as it is not checked on loopback. */
-std::vector<uint8_t> encode_segment(const segment& s, uint8_t first_byte = 0) {
+}  // namespace
+
+std::vector<uint8_t> encode_segment(const segment& s, uint8_t first_byte) {
   std::vector<uint8_t> out(platform::header_bytes + s.data_bytes);
   put_32(&out[0], 1);  // 0 would mark a reset made by a balancer.
   out[4] = static_cast<uint8_t>(
@@ -108,7 +73,20 @@
   return out;
 }
 
-}  // namespace
+soak_counts& soak_counts::operator+=(const soak_counts& more) {
+  opened += more.opened;
+  served += more.served;
+  timed_out += more.timed_out;
+  reset += more.reset;
+  long_opened += more.long_opened;
+  long_requests += more.long_requests;
+  long_lost += more.long_lost;
+  late += more.late;
+  violations += more.violations;
+  violation_texts.insert(violation_texts.end(), more.violation_texts.begin(),
+                         more.violation_texts.end());
+  return *this;
+}
 
 soak_traffic::soak_traffic(size_t targets, const soak_load& load, uint64_t seed)
     : load_(load), random_(seed), long_random_(seed + 3000017) {
@@ -245,357 +223,4 @@
   }
 }
 
-time_us soak_traffic::draw_pause() {
-  std::uniform_int_distribution<time_us> usual(20 * us_per_ms, 400 * us_per_ms);
-  std::uniform_int_distribution<time_us> longer(500 * us_per_ms, 3 * us_per_s);
-  return long_random_() % 5 == 0 ? longer(long_random_) : usual(long_random_);
-}
-
-time_us soak_traffic::draw_service_time() {
-  if (load_.service_time == 0)
-    return 0;
-  std::exponential_distribution<double> time(
-      1 / static_cast<double>(load_.service_time));
-  return std::min(static_cast<time_us>(time(long_random_)), max_service_time);
-}
-
-void soak_traffic::process_timers(time_us now) {
-  finish_requests(now);
-  for (int i = 0; now >= next_open_; ++i) {
-    next_open_ = i < max_openings_per_pass && next_open_ != 0
-                     ? next_open_ + load_.open_interval
-                     : now + load_.open_interval;
-    open_flow(now, false);
-  }
-  if (now >= next_long_open_ && open_long_flows_ < load_.long_flows) {
-    next_long_open_ = now + long_open_interval;
-    open_flow(now, true);
-  }
-  if (now < next_scan_)
-    return;
-  next_scan_ = now + scan_interval;
-  for (auto it = flows_.begin(); it != flows_.end();) {
-    if (process_flow(now, &it->second)) {
-      ++it;
-    } else {
-      open_long_flows_ -= it->second.long_lived ? 1 : 0;
-      it = flows_.erase(it);
-    }
-  }
-}
-
-bool soak_traffic::process_flow(time_us now, flow* f) {
-  const time_us age = now - f->opened_at;
-  if (!f->long_lived && age >= flow_timeout) {
-    ++counts_.timed_out;
-    return false;
-  }
-  if (!f->connected) {
-    const auto copy = static_cast<size_t>(f->retransmissions);
-    if (copy < opening_copies.size() && age >= opening_copies[copy]) {
-      ++f->retransmissions;
-      segment s = f->header;
-      s.flags.opens = true;
-      s.acknowledged = static_cast<uint32_t>(f->retransmissions);
-      send(*f, s);
-    }
-    return age < long_opening_timeout;
-  }
-  if (f->pending && now - f->request_sent >= request_timeout) {
-    ++counts_.long_lost;
-    segment s = f->header;
-    s.flags.resets = true;
-    send(*f, s);
-    return false;
-  }
-  const time_us interval = std::min(retransmit_interval << f->retransmissions,
-                                    max_retransmit_interval);
-  if (f->pending && now - f->last_sent >= interval) {
-    ++f->retransmissions;
-    send_request_copy(now, f);
-  } else if (!f->pending && now >= f->next_request) {
-    send_request(now, f);
-  }
-  return true;
-}
-
-void soak_traffic::open_flow(time_us now, bool long_lived) {
-  if (balancers_.empty())
-    return;
-  flow f;
-  uint64_t key = 0;
-  do {
-    next_port_ = next_port_ == 65535 ? 1024 : next_port_ + 1;
-    f.header.source = {
-        first_caller_ip + static_cast<uint32_t>(next_port_ % caller_count),
-        next_port_};
-    f.header.destination = route_address;
-    key = hash_of(key_of(f.header));
-  } while (flows_.count(key) != 0);
-  f.opened_at = f.last_sent = now;
-  f.long_lived = long_lived;
-  if (long_lived) {
-    ++open_long_flows_;
-    f.requests_left = 20 + static_cast<int>(long_random_() % 180);
-    if (long_random_() % 4 == 0)
-      f.balancer = balancers_[long_random_() % balancers_.size()];
-  } else {
-    ++counts_.opened;
-  }
-  segment s = f.header;
-  s.flags.opens = true;
-  flows_[key] = f;
-  send(f, s);
-}
-
-void soak_traffic::send_request(time_us now, flow* f) {
-  const bool too_old = now - f->opened_at >= max_flow_age;
-  f->requests_left = too_old ? 0 : f->requests_left - 1;
-  f->pending = true;
-  f->request_sent = now;
-  f->retransmissions = 0;
-  plant_fault(f);
-  send_request_copy(now, f);
-}
-
-void soak_traffic::plant_fault(flow* f) {
-  if (load_.plant == soak_plant::none || !f->long_lived ||
-      ++requests_to_plant_ % plant_interval != 0)
-    return;
-  if (load_.plant == soak_plant::move_open_flow) {
-    const auto other =
-        std::find_if(flows_.begin(), flows_.end(), [&](const auto& entry) {
-          return entry.second.connected &&
-                 entry.second.target_index != f->target_index;
-        });
-    if (other != flows_.end())
-      f->header.token = other->second.header.token;
-    return;
-  }
-  segment reset;
-  reset.source = f->header.destination;
-  reset.destination = f->header.source;
-  reset.sequence = f->header.acknowledged;
-  reset.flags.resets = true;
-  const auto packet = encode_segment(reset);
-  const uint32_t caller_ip = f->header.source.ip;
-  const sockaddr_in to = to_sockaddr(
-      {caller_ip, static_cast<uint16_t>(first_packet_port + port_offset_)});
-  sendto(
-      caller_sockets_[(caller_ip + 1 - first_caller_ip) % caller_count].get(),
-      packet.data(), packet.size(), 0, reinterpret_cast<const sockaddr*>(&to),
-      sizeof(to));
-}
-
-void soak_traffic::send_request_copy(time_us now, flow* f) {
-  f->last_sent = now;
-  segment s = f->header;
-  s.flags.acknowledges = true;
-  s.data_bytes = request_bytes;
-  send(*f, s);
-}
-
-void soak_traffic::send(const flow& f, const segment& s) {
-  if (balancers_.empty())
-    return;
-  const endpoint to = f.balancer.port != 0
-                          ? f.balancer
-                          : balancers_[hash_of(key_of(s)) % balancers_.size()];
-  const auto packet =
-      encode_segment(s, f.requests_left == 0 ? closing_mark : 0);
-  const sockaddr_in address = to_sockaddr(to);
-  sendto(caller_sockets_[s.source.ip - first_caller_ip].get(), packet.data(),
-         packet.size(), 0, reinterpret_cast<const sockaddr*>(&address),
-         sizeof(address));
-}
-
-void soak_traffic::receive_at_target(size_t index,
-                                     const uint8_t* data,
-                                     size_t size) {
-  target& t = targets_[index];
-  if (!t.alive || size < platform::target_prefix_bytes)
-    return;
-  uint64_t target_number = 0;
-  for (size_t i = 0; i < platform::target_prefix_bytes; ++i)
-    target_number = target_number << 8 | data[i];
-  if (target_number != first_target_number + index)
-    return;
-  const uint8_t* packet = data + platform::target_prefix_bytes;
-  const auto s =
-      platform::read_segment(packet, size - platform::target_prefix_bytes);
-  if (!s.has_value())
-    return record_violation("unreadable segment received by a target");
-  const uint64_t key = hash_of(key_of(*s));
-  if (s->flags.opens)
-    return receive_opening(index, key, *s);
-  const auto caller_flow = flows_.find(key);
-  if (caller_flow != flows_.end() && caller_flow->second.connected &&
-      caller_flow->second.target_index != index &&
-      targets_[caller_flow->second.target_index].alive)
-    record_violation("segment of an open flow reached " + name_of(index) +
-                     ": " + describe(caller_flow->second));
-  if (s->flags.finishes || s->flags.resets) {
-    t.flows.erase(key);
-  } else if (t.flows.count(key) == 0) {
-    segment reset;
-    reset.flags.resets = true;
-    reset.sequence = s->acknowledged;
-    send_from_target(index, *s, reset);
-  } else if (s->data_bytes != 0) {
-    receive_request(index, key, *s,
-                    packet[platform::header_bytes] == closing_mark);
-  }
-}
-
-void soak_traffic::receive_opening(size_t index,
-                                   uint64_t key,
-                                   const segment& s) {
-  target& t = targets_[index];
-  const time_us now = boot_now();
-  if (t.draining_since != 0 && now - t.draining_since > drain_grace &&
-      now - undisturbed_since_ > recovery_time)
-    record_violation("opening past the drain bound at target " +
-                     name_of(index));
-  target_flow opened;
-  opened.sequence = static_cast<uint32_t>(random_() | 1);
-  opened.expected = s.sequence;
-  segment reply;
-  reply.flags.opens = reply.flags.acknowledges = true;
-  reply.sequence = t.flows.try_emplace(key, opened).first->second.sequence;
-  send_from_target(index, s, reply);
-}
-
-void soak_traffic::receive_request(size_t index,
-                                   uint64_t key,
-                                   const segment& s,
-                                   bool last) {
-  target& t = targets_[index];
-  target_flow& f = t.flows[key];
-  if (f.busy)
-    return;
-  if (s.sequence + request_bytes == f.expected)
-    return send_response(index, f);  // The last response was lost.
-  if (s.sequence != f.expected)
-    return;
-  const time_us now = boot_now();
-  const auto slot = std::min_element(t.slots.begin(), t.slots.end());
-  const time_us start = std::max(now, *slot);
-  if (start - now > max_queue_time)
-    return;
-  *slot = start + draw_service_time();
-  f.busy = true;
-  f.closes = last;
-  f.last_request = s;
-  f.expected += request_bytes;
-  work_.emplace(*slot, std::make_pair(index, key));
-}
-
-void soak_traffic::finish_requests(time_us now) {
-  while (!work_.empty() && work_.begin()->first <= now) {
-    const auto [index, key] = work_.begin()->second;
-    work_.erase(work_.begin());
-    target& t = targets_[index];
-    const auto f = t.flows.find(key);
-    if (f == t.flows.end() || !f->second.busy)
-      continue;
-    f->second.busy = false;
-    f->second.closes = f->second.closes || t.draining_since != 0;
-    f->second.sequence += response_bytes;
-    send_response(index, f->second);
-  }
-}
-
-void soak_traffic::send_response(size_t index, const target_flow& f) {
-  segment reply;
-  reply.flags.acknowledges = true;
-  reply.flags.finishes = f.closes;
-  reply.sequence = f.sequence - static_cast<uint32_t>(response_bytes);
-  reply.data_bytes = response_bytes;
-  reply.acknowledged = f.expected;
-  send_from_target(index, f.last_request, reply);
-}
-
-void soak_traffic::send_from_target(size_t index,
-                                    const segment& request,
-                                    segment reply) {
-  reply.source = request.destination;
-  reply.destination = request.source;
-  reply.token = request.token;
-  const auto packet = encode_segment(reply);
-  const sockaddr_in to =
-      to_sockaddr({request.source.ip,
-                   static_cast<uint16_t>(first_packet_port + port_offset_)});
-  sendto(targets_[index].socket.get(), packet.data(), packet.size(), 0,
-         reinterpret_cast<const sockaddr*>(&to), sizeof(to));
-}
-
-void soak_traffic::receive_at_caller(const uint8_t* data,
-                                     size_t size,
-                                     endpoint from) {
-  const auto s = platform::read_segment(data, size);
-  if (!s.has_value())
-    return record_violation("unreadable segment received by a caller");
-  segment caller_segment;
-  caller_segment.source = s->destination;
-  caller_segment.destination = s->source;
-  const auto it = flows_.find(hash_of(key_of(caller_segment)));
-  if (it == flows_.end())
-    return;
-  flow& f = it->second;
-  if (s->flags.resets)
-    return receive_reset(it, from);
-  if (s->flags.opens && !f.connected) {
-    f.connected = true;
-    counts_.long_opened += f.long_lived ? 1 : 0;
-    f.target_index = from.ip - first_target_ip;
-    f.header.token = s->token;
-    f.header.acknowledged = s->sequence;
-    send_request(boot_now(), &f);
-  } else if (f.connected && from == targets_[f.target_index].address) {
-    receive_response(it, *s);
-  }
-}
-
-void soak_traffic::receive_reset(flow_map::iterator it, endpoint from) {
-  const flow& f = it->second;
-  const bool by_target =
-      f.connected && from == targets_[f.target_index].address;
-  if (f.connected && !by_target && targets_[f.target_index].alive)
-    record_violation("open flow reset by " + to_text(from) + ": " +
-                     describe(f));
-  if (f.long_lived) {
-    counts_.long_lost += f.connected ? 1 : 0;
-    --open_long_flows_;
-  } else {
-    ++counts_.reset;
-  }
-  flows_.erase(it);
-}
-
-void soak_traffic::receive_response(flow_map::iterator it, const segment& s) {
-  flow& f = it->second;
-  if (!f.pending || s.sequence != f.header.acknowledged || s.data_bytes == 0)
-    return;
-  const time_us now = boot_now();
-  f.pending = false;
-  f.header.token = s.token;
-  f.header.sequence += request_bytes;
-  f.header.acknowledged += static_cast<uint32_t>(s.data_bytes);
-  counts_.late += now - f.request_sent > retransmit_interval ? 1 : 0;
-  counts_.long_requests += f.long_lived ? 1 : 0;
-  segment reply = f.header;
-  reply.flags.acknowledges = true;
-  reply.flags.finishes = s.flags.finishes;
-  send(f, reply);
-  if (!s.flags.finishes) {
-    f.next_request = now + draw_pause();
-    return;
-  }
-  if (f.long_lived)
-    --open_long_flows_;
-  else
-    ++counts_.served;
-  flows_.erase(it);
-}
-
 }  // namespace turmeric::tests
