Feature: the soak checks overload (--overload)

Cause: the soak never asked for more than its targets serve, so it could not show that an opening is refused truthfully, that copies of openings are not reset, and that balancers recover after an overload.

--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -19,6 +19,7 @@
   time_us fault_phase_end = default_fault_phase_end;
   soak_plant plant = soak_plant::none;
   bool promises_only = false;
+  bool overload = false;
 
   bool large() const { return balancers > default_balancers; }
   size_t targets() const { return balancers * 3 / 2; }
--- a/tests/soak/soak_traffic_internal.h
+++ b/tests/soak/soak_traffic_internal.h
@@ -17,6 +17,8 @@
 constexpr size_t response_bytes = 256;
 /** First byte of the data of a flow's last request. */
 constexpr uint8_t closing_mark = 1;
+/** First byte of the data of a response to a request that did not run. */
+constexpr uint8_t not_run_mark = 2;
 /** Number of the first target. A target's number is in its name, in hex, and in
  * the prefix of the packets that balancers send to it. */
 constexpr uint64_t first_target_number = 0xa0;
