--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -137,8 +137,8 @@
   forwarding.placing.zone = zone_name(b->zone);
   forwarding.log_one_in = 0;
   forwarding.detect_full_targets = options_.overload_control;
-  forwarding.detect_full_targets = options_.overload_control;
-  forwarding.placing.learn_weights = options_.overload_control;
+  forwarding.placing.learn_weights =
+      options_.overload_control && !options_.equal_weights;
   forwarding.admission.enabled = options_.overload_control;
   forwarding.admission.fair_shares = options_.overload_control;
   if (options_.make_placement_hook)
@@ -219,22 +219,22 @@
   if (next == INT64_MAX)
     return;
   const uint64_t generation = b->generation;
-  clock_.after(std::max<time_us>(next - clock_.now(), 1),
-               [this, b, generation] {
-                 if (b->generation != generation)
-                   return;
-                 run_on_balancer(b, [this, b] {
-                   b->forwarding->tick(clock_.now());
-                   send_deferred(b);
-                   forward_reports(b);
-                   // Once only: each segment schedules a tick as well.
-                   if (!b->held.empty() && b->deferred_tick <= clock_.now()) {
-                     b->deferred_tick = std::max(b->forwarding->next_tick(),
-                                                 clock_.now() + us_per_ms);
-                     schedule_forwarding_tick(b);
-                   }
-                 });
-               });
+  clock_.after(
+      std::max<time_us>(next - clock_.now(), 1), [this, b, generation] {
+        if (b->generation != generation)
+          return;
+        run_on_balancer(b, [this, b] {
+          b->forwarding->tick(clock_.now());
+          send_deferred(b);
+          forward_reports(b);
+          // Once only: each segment schedules a tick as well.
+          if (!b->held.empty() && b->deferred_tick <= clock_.now()) {
+            b->deferred_tick =
+                std::max(b->forwarding->next_tick(), clock_.now() + us_per_ms);
+            schedule_forwarding_tick(b);
+          }
+        });
+      });
 }
 
 void emu_world::forward_reports(balancer* b) {
