Fix: a loaded service that takes every request is not saturated

Change: saturation also needs openings reset by targets within the last second; rejections (under a fifth of the usual time) count as such and do not lower the usual time, nor do answers during an overload; the limit rises unless saturated.

--- a/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
@@ -21,10 +21,8 @@
   double min_responses = 4.0;
   double max_responses = 16.0;
   double decrease = 0.8;   ///< Factor at a change while saturated.
-  double increase = 1.1;   ///< Factor at a change while few are delayed.
+  double increase = 1.1;   ///< Factor at a change when it is not.
   double increment = 1.0;  ///< Added to that, for small limits.
-  /** Share of delayed responses up to which the limit rises. */
-  double max_delayed_share = 0.5;
   /** The limit is lifted after this time without need of it. */
   time_us idle_time = us_per_s;
   /** The limit is lifted without a response for this time, when the load is
@@ -44,9 +42,8 @@
    * limit. */
   uint32_t room(uint32_t in_flight) const;
 
-  /** Adapts the limit. @param delayed_share See load_monitor. */
+  /** Adapts the limit. */
   void on_response(time_us now,
-                   double delayed_share,
                    service_load load,
                    uint32_t in_flight,
                    const concurrency_limit_options& options);
--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -23,6 +23,9 @@
    * doubles in 140 s, so that an overload of a minute does not count as usual,
    * while work that has become longer does after some minutes. */
   double growth = 0.005;
+  /** An answer that takes less than this share of the usual time is a
+   * rejection: the target has not worked on the request. */
+  double rejected_ratio = 0.2;
   /** An answer is delayed if it takes this many times the usual time: the
    * request has waited for about two others. */
   double delayed_ratio = 2.0;
@@ -31,9 +34,12 @@
   /** Share of delayed answers from which targets of a service may be full. A
    * few slow targets, or lost packets, delay fewer. */
   double queueing_share = 0.25;
-  /** Share of delayed answers from which all targets of a service queue. */
+  /** Share of delayed answers from which requests queue at nearly all targets
+   * of a service. It is saturated if targets also reset openings: as long as
+   * they take every request, callers only wait. */
   double saturated_share = 0.6;
-  /** The load is unknown if the last answer is older than this. */
+  /** The load is unknown if the last answer is older than this, and the same
+   * holds for the last reset opening. */
   time_us max_age = us_per_s;
 };
 
@@ -41,7 +47,7 @@
 enum class service_load : uint8_t {
   normal,     ///< Also if it is unknown.
   queueing,   ///< Requests wait at some of its targets.
-  saturated,  ///< Requests wait at nearly all of its targets.
+  saturated,  ///< The same at nearly all, and full ones reset openings.
   end
 };
 
@@ -54,7 +60,8 @@
  public:
   explicit load_monitor(load_monitor_options options) : options_(options) {}
 
-  /** Records an answer on @p route of @p service.
+  /** Records an answer on @p route of @p service; a rejection counts as a reset
+   * opening.
    * @return Its time in units of the usual time of the route; 0 while that is
    * unknown. */
   double add(time_us now,
@@ -96,10 +103,18 @@
     uint64_t delayed = 0;  ///< One bit per recent answer.
     uint32_t count = 0;    ///< Recent answers, up to `recent`.
     time_us last = 0;
+    time_us last_reset = INT64_MIN / 2;  ///< Of an opening, by a target.
   };
 
   void count_answer(time_us now, bool delayed, service_answers* answers) const;
-  void add_estimate(time_us now, time_us median, route_times* times) const;
+  /** @return Whether targets have reset an opening recently. */
+  bool resets_openings(time_us now, const std::string& service) const;
+  /** @param overloaded Whether a lower estimate is ignored: rejections are
+   * faster than answers. */
+  void add_estimate(time_us now,
+                    time_us median,
+                    bool overloaded,
+                    route_times* times) const;
 
   load_monitor_options options_;
   std::unordered_map<endpoint, route_times, endpoint_hash> routes_;
--- a/packages/coordination/src/overload/admission.cpp
+++ b/packages/coordination/src/overload/admission.cpp
@@ -148,13 +148,11 @@
 
 void admission::on_answer(time_us now,
                           const std::string& service,
-                          double delayed_share,
                           service_load load) {
   if (!options_.enabled)
     return;
   service_state& state = state_of(service);
-  state.limit.on_response(now, delayed_share, load, state.in_flight,
-                          options_.limit);
+  state.limit.on_response(now, load, state.in_flight, options_.limit);
   schedule_release(now, state);
 }
 
@@ -163,7 +161,8 @@
                             admission_verdict verdict,
                             std::vector<released_opening>* out) {
   waiting_.erase(key_of(entry.what.opening));
-  out->push_back({entry.what.opening, verdict, now - entry.since});
+  out->push_back(
+      {entry.what.opening, verdict, now - entry.since, entry.what.arrived});
 }
 
 void admission::release(time_us now,
--- a/packages/coordination/src/overload/concurrency_limit.cpp
+++ b/packages/coordination/src/overload/concurrency_limit.cpp
@@ -19,7 +19,6 @@
 }
 
 void concurrency_limit::on_response(time_us now,
-                                    double delayed_share,
                                     service_load load,
                                     uint32_t in_flight,
                                     const concurrency_limit_options& options) {
@@ -43,7 +42,7 @@
     limit_ = std::max(1.0, limit_ * options.decrease);
   // A limit that is not reached has no effect on the load. If it rose, it would
   // be far too high at the next saturation.
-  else if (reached_ && delayed_share <= options.max_delayed_share)
+  else if (reached_)
     limit_ = limit_ * options.increase + options.increment;
   responses_ = 0;
   reached_ = false;
@@ -57,7 +56,7 @@
 void concurrency_limit::lift_if_idle(time_us now,
                                      service_load load,
                                      const concurrency_limit_options& options) {
-  if (load == service_load::normal && now - last_wait_ >= options.idle_time)
+  if (load != service_load::saturated && now - last_wait_ >= options.idle_time)
     limit_ = 0.0;
 }
 
--- a/packages/coordination/src/overload/load_monitor.cpp
+++ b/packages/coordination/src/overload/load_monitor.cpp
@@ -19,12 +19,15 @@
 
 void load_monitor::add_estimate(time_us now,
                                 time_us median,
+                                bool overloaded,
                                 route_times* times) const {
   const double usual = static_cast<double>(times->usual);
   const double change = static_cast<double>(median) - usual;
   const double elapsed_s = static_cast<double>(now - times->updated) / us_per_s;
   if (times->usual == 0)
     times->usual = median;
+  else if (change < 0 && overloaded)
+    return;
   else if (change < 0)
     times->usual = static_cast<time_us>(usual + options_.approach * change);
   else
@@ -43,8 +46,10 @@
 }
 
 void load_monitor::add_reset(time_us now, const std::string& service) {
+  service_answers& answers = services_[service];
+  answers.last_reset = now;
   if (load(now, service) != service_load::normal)
-    count_answer(now, true, &services_[service]);
+    count_answer(now, true, &answers);
 }
 
 double load_monitor::add(time_us now,
@@ -55,12 +60,18 @@
   const double ratio = times.usual == 0 ? 0.0
                                         : static_cast<double>(took) /
                                               static_cast<double>(times.usual);
+  if (ratio != 0.0 && ratio < options_.rejected_ratio) {
+    add_reset(now, service);
+    return ratio;
+  }
   times.window.push_back(took);
   if (times.window.size() >= options_.window) {
     const auto middle =
         times.window.begin() + static_cast<long>(times.window.size() / 2);
     std::nth_element(times.window.begin(), middle, times.window.end());
-    add_estimate(now, std::max<time_us>(*middle, 1), &times);
+    const bool overloaded = load(now, service) != service_load::normal ||
+                            resets_openings(now, service);
+    add_estimate(now, std::max<time_us>(*middle, 1), overloaded, &times);
     times.window.clear();
   }
   if (ratio == 0.0)
@@ -83,9 +94,16 @@
          options_.recent;
 }
 
+bool load_monitor::resets_openings(time_us now,
+                                   const std::string& service) const {
+  const auto it = services_.find(service);
+  return it != services_.end() &&
+         now - it->second.last_reset <= options_.max_age;
+}
+
 service_load load_monitor::load(time_us now, const std::string& service) const {
   const double share = delayed_share(now, service);
-  if (share >= options_.saturated_share)
+  if (share >= options_.saturated_share && resets_openings(now, service))
     return service_load::saturated;
   return share >= options_.queueing_share ? service_load::queueing
                                           : service_load::normal;
