--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -222,10 +222,12 @@
   /** Decides on a caller's segment. The decision's target lives as long as the
    * table in use.
    * @param waited Longest time for which the segment may have waited in this
-   * process. */
+   * process, if that is long enough to matter; else 0.
+   * @param longest_wait The same, however short. */
   forwarding_decision on_segment(time_us now,
                                  const segment& s,
-                                 time_us waited = 0);
+                                 time_us waited = 0,
+                                 time_us longest_wait = 0);
 
   /** @return Decisions on segments for which on_segment() returned `hold`. To
    * be called after on_segment() and tick(). */
@@ -273,10 +275,15 @@
                                     const placement_choice& choice);
   bool is_superseded(const segment& opening, time_us waited) const;
   forwarding_decision on_opening(time_us now, const segment& s, time_us waited);
-  /** Decides whether the first copy of an opening is placed now. */
+  /** Decides whether the first copy of an opening is placed now.
+   * @param arrived Earliest time at which it can have arrived. */
   forwarding_decision admit(time_us now,
                             const segment& s,
+                            time_us arrived,
                             const route_entry& route);
+  /** Decides on an opening whose wait has ended. */
+  forwarding_decision decide_released(time_us now,
+                                      const released_opening& released);
   /** Decides on an opening whose wait has ended, with the present table. */
   forwarding_decision place_released(time_us now, const segment& s);
   /** @param service Null if the flow awaits no answer. */
@@ -349,6 +356,7 @@
   std::deque<flow_check> idle_checks_;  ///< Of flows that are no longer active.
   time_us table_since_ = 0;
   time_us drop_openings_until_ = 0;
+  time_us segment_arrived_ = 0;  ///< At the earliest, the one decided on.
   latency_histogram answer_times_;
   load_monitor loads_;
   std::set<std::string> saturated_;  ///< Services logged as saturated.
--- a/packages/coordination/include/turmeric/coordination/overload/admission_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/admission_base.h
@@ -41,6 +41,7 @@
   segment opening;
   admission_verdict verdict = admission_verdict::end;  ///< admit or refuse
   time_us waited = 0;
+  time_us arrived = 0;  ///< See waiting_opening.
 };
 
 /** State of one service, for metrics. */
@@ -71,12 +72,8 @@
   /** Stops counting a flow: it was answered, has ended or got no answer. */
   void on_finished(time_us now, const std::string& service);
 
-  /** Adapts the limit. Called with each answer.
-   * @param delayed_share See load_monitor. */
-  void on_answer(time_us now,
-                 const std::string& service,
-                 double delayed_share,
-                 service_load load);
+  /** Adapts the limit. Called with each answer. */
+  void on_answer(time_us now, const std::string& service, service_load load);
 
   /** @return The openings whose wait has ended since the last call, those to be
    * admitted in the order of their turn. Each counts as started only when
--- a/packages/coordination/include/turmeric/coordination/overload/opening_queue_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/opening_queue_base.h
@@ -19,6 +19,7 @@
   uint32_t priority = 0;          ///< Of its route; 0 is the highest.
   bool highest_priority = false;  ///< Of the routes of its service.
   time_us latency_objective = 0;  ///< Of its route; 0 if it has none.
+  time_us arrived = 0;  ///< Earliest time at which it can have arrived.
 };
 
 struct queued_opening {
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -99,7 +99,9 @@
 
 forwarding_decision forwarding_core::on_segment(time_us now,
                                                 const segment& s,
-                                                time_us waited) {
+                                                time_us waited,
+                                                time_us longest_wait) {
+  segment_arrived_ = now - std::max(waited, longest_wait);
   forwarding_decision decision = decide(now, s, waited);
   ++counters_.reasons[static_cast<size_t>(decision.reason)];
   log_decision(now, s, decision, 0);
@@ -164,12 +166,13 @@
   // A later copy may belong to a flow that another balancer has opened.
   const bool first = s.acknowledged == 0;
   return first && options_.admission.enabled
-             ? admit(now, s, *route)
+             ? admit(now, s, segment_arrived_, *route)
              : open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
 
 forwarding_decision forwarding_core::admit(time_us now,
                                            const segment& s,
+                                           time_us arrived,
                                            const route_entry& route) {
   if (admission_.is_waiting(key_of(s))) {
     return {forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
@@ -177,7 +180,7 @@
   const std::string service = service_of(route, key_of(s));
   const waiting_opening opening{
       s, route.priority, route.priority <= table_->highest_priority(service),
-      route.latency_objective};
+      route.latency_objective, arrived};
   switch (
       admission_.on_opening(now, service, opening, loads_.load(now, service))) {
     case admission_verdict::wait:
@@ -201,16 +204,26 @@
   return open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
 
+forwarding_decision forwarding_core::decide_released(
+    time_us now,
+    const released_opening& released) {
+  // After a pause of this process, a copy may have opened the flow elsewhere.
+  if (is_superseded(released.opening, now - released.arrived)) {
+    return {
+        forwarding_action::drop, forwarding_reason::superseded, nullptr, {}};
+  }
+  return released.verdict == admission_verdict::admit
+             ? place_released(now, released.opening)
+             : refuse(released.opening, forwarding_reason::overloaded, {});
+}
+
 std::vector<deferred_decision> forwarding_core::take_deferred(time_us now) {
   std::vector<deferred_decision> out;
   if (!options_.admission.enabled)
     return out;
   for (const auto& released : admission_.take_released(now)) {
     const segment& s = released.opening;
-    const forwarding_decision decision =
-        released.verdict == admission_verdict::admit
-            ? place_released(now, s)
-            : refuse(s, forwarding_reason::overloaded, {});
+    const forwarding_decision decision = decide_released(now, released);
     ++counters_.reasons[static_cast<size_t>(decision.reason)];
     log_decision(now, s, decision, released.waited);
     out.push_back({s, decision});
@@ -231,10 +244,9 @@
 }
 
 void forwarding_core::adapt_admission(time_us now, const std::string& service) {
-  const double share = loads_.delayed_share(now, service);
   const service_load load = loads_.load(now, service);
   if (options_.admission.enabled)
-    admission_.on_answer(now, service, share, load);
+    admission_.on_answer(now, service, load);
   // Load around the lower threshold would be logged many times a second.
   const bool saturated = load == service_load::saturated;
   const bool changed = saturated ? saturated_.insert(service).second
@@ -249,7 +261,7 @@
   event.kind = forwarding_event_kind::load_changed;
   event.service = service;
   event.load = load;
-  event.delayed_share = share;
+  event.delayed_share = loads_.delayed_share(now, service);
   event.table_age = now - table_since_;
   events_.push_back(std::move(event));
 }
--- a/packages/transport/include/turmeric/transport/segment_runner_base.h
+++ b/packages/transport/include/turmeric/transport/segment_runner_base.h
@@ -135,8 +135,12 @@
   void clear_wake();
   /** @param longest_wait Bound on the time that the segments waited. */
   void handle_batch(time_us now, time_us longest_wait, batch* b, int count);
-  /** @param waited Longest time for which the segment may have waited. */
-  void handle_segment(time_us now, time_us waited, batch* b, int index);
+  /** See forwarding_core::on_segment(). */
+  void handle_segment(time_us now,
+                      time_us waited,
+                      time_us longest_wait,
+                      batch* b,
+                      int index);
   /** Sends or drops the packets whose wait has ended. */
   void send_deferred(time_us now, batch* b);
 
--- a/packages/transport/src/forwarding/segment_runner.cpp
+++ b/packages/transport/src/forwarding/segment_runner.cpp
@@ -362,12 +362,13 @@
   last_segment_ = now;
   const time_us waited = longest_wait >= min_delay ? longest_wait : 0;
   for (int i = 0; i < count; ++i)
-    handle_segment(now, waited, b, i);
+    handle_segment(now, waited, longest_wait, b, i);
   b->flush(socket_.get());
 }
 
 void segment_runner::handle_segment(time_us now,
                                     time_us waited,
+                                    time_us longest_wait,
                                     batch* b,
                                     int index) {
   uint8_t* data = b->buffers[index].data() + platform::target_prefix_bytes;
@@ -377,7 +378,8 @@
     core_.count_malformed();
     return;
   }
-  const forwarding_decision decision = core_.on_segment(now, *s, waited);
+  const forwarding_decision decision =
+      core_.on_segment(now, *s, waited, longest_wait);
   if (decision.action == forwarding_action::forward) {
     platform::write_token(data, decision.target->token);
     platform::write_target_prefix(b->buffers[index].data(),
