--- a/apps/turmericstream/explain_page.cpp
+++ b/apps/turmericstream/explain_page.cpp
@@ -49,12 +49,15 @@
 
 /** The first row that matches any line of the flow gives the cause, so specific
  * failures come before general outcomes. */
-constexpr std::array<cause_row, 9> causes = {{
+constexpr std::array<cause_row, 10> causes = {{
     {"flow refused", "no_target",
      "Refused: the route's services had no target that may take new flows. See "
      "the entries below, `forwarder targets` and withdrawn zones."},
     {"flow refused", "no_route",
      "Refused: no route at this address in the routing version named."},
+    {"flow refused", "overloaded",
+     "Refused: the targets of the service were full, and callers of a higher "
+     "priority or with fewer flows went first. See `forwarder status`."},
     {"segment dropped", "unknown_token",
      "Broken: a segment named a target that is not in this balancer's table; "
      "the table is older than the flow, or the target was removed long ago."},
--- a/packages/state/include/turmeric/state/table/settings.h
+++ b/packages/state/include/turmeric/state/table/settings.h
@@ -2,7 +2,8 @@
  *
  * Columns: section, name, kind, unit, default, minimum, maximum, description.
  * Minimum and maximum bound the value of numbers and the length in bytes of
- * texts; they are 0 for flags. A text whose default is shorter than its minimum is required.
+ * texts; they are 0 for flags. A text whose default is shorter than its minimum
+ * is required.
  */
 TURMERIC_SETTING(instance,
                  name,
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -111,6 +111,13 @@
   b->send(opening_segment(), us_per_s);
 }
 
+void simulate_overloaded(logging_balancer* b) {
+  b->lines.push_back(fmt::format(
+      R"(x {{"time":"1","instance":"b1","message":"flow refused",)"
+      R"("flow":"{}","target":"","reason":"overloaded","waited_us":"50000"}})",
+      to_text(caller)));
+}
+
 void simulate_served(logging_balancer* b) {
   b->send(opening_segment());
   const flow_token token = token_of("i-0");
@@ -126,6 +133,8 @@
   const outcome_row rows[] = {
       {"refused", simulate_refused,
        "Refused: the route's services had no target"},
+      {"refused under load", simulate_overloaded,
+       "Refused: the targets of the service were full"},
       {"late after a target that did not answer", simulate_late,
        "Late: its first target"},
       {"waited in the balancer", simulate_superseded,
