Fix: what a review of admission and load found

A held first copy could be refused after a copy had been placed here, and a copy seconds late while its flow was open: a reset of an open flow. Both are decided by the flow that is known. 2. The usual time could stay too high for good, and jump up after idle time. 3. Openings without an answer kept a limit alive after all targets had died. 4. Admission needed the setting full_targets to see resets. 5. A withheld silence was reported after the target had answered; requests that take over 400 ms counted as failures, whatever is usual. 6. An opening was refused although a slot of the limit was free; a long socket wait before the hold turned refusals into drops. Result: unit tests for 1, 2, 3 and 5 pass; they were written with the fixes and not seen failing first.

--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -288,7 +288,9 @@
   forwarding_decision place_released(time_us now, const segment& s);
   /** @param service Null if the flow awaits no answer. */
   void set_in_flight(time_us now, flow_state* flow, const std::string* service);
-  void adapt_admission(time_us now, const std::string& service);
+  /** @param answered Whether a target answered; else it may have reset an
+   * opening. */
+  void adapt_admission(time_us now, const std::string& service, bool answered);
   forwarding_decision on_retransmitted(time_us now,
                                        const segment& s,
                                        time_us waited,
@@ -319,7 +321,8 @@
                     const forwarding_target& target,
                     bool acknowledges_more,
                     flow_state* flow);
-  void end_request(time_us now, flow_state* flow);
+  /** Ends the wait for an answer that has not come. */
+  void end_request(time_us now, const flow_key& key, flow_state* flow);
   bool learns_answers() const {
     return options_.detect_full_targets || options_.placing.learn_weights ||
            options_.admission.enabled;
--- a/packages/coordination/include/turmeric/coordination/overload/admission_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/admission_base.h
@@ -26,6 +26,9 @@
   /** The same as a share of the route's latency objective, so that a caller
    * that is refused in the end has time for another attempt. */
   double objective_share = 0.25;
+  /** An opening is decided on by this time after its earliest arrival; from
+   * 150 ms on it is dropped, as a copy may be under way. */
+  time_us last_decision = 140 * us_per_ms;
   size_t max_waiting = 1024;  ///< Openings of all services together.
   bool fair_shares = false;   ///< Whether callers get fair shares.
   caller_share_options shares;
@@ -72,8 +75,12 @@
   /** Stops counting a flow: it was answered, has ended or got no answer. */
   void on_finished(time_us now, const std::string& service);
 
-  /** Adapts the limit. Called with each answer. */
-  void on_answer(time_us now, const std::string& service, service_load load);
+  /** Adapts the limit. Called with each answer, and for each opening that a
+   * target may have reset. @param answered See concurrency_limit. */
+  void on_outcome(time_us now,
+                  const std::string& service,
+                  service_load load,
+                  bool answered);
 
   /** @return The openings whose wait has ended since the last call, those to be
    * admitted in the order of their turn. Each counts as started only when
--- a/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/concurrency_limit_base.h
@@ -42,11 +42,13 @@
    * limit. */
   uint32_t room(uint32_t in_flight) const;
 
-  /** Adapts the limit. */
-  void on_response(time_us now,
-                   service_load load,
-                   uint32_t in_flight,
-                   const concurrency_limit_options& options);
+  /** Adapts the limit. @param answered Whether a target responded; else it may
+   * have reset an opening. */
+  void on_outcome(time_us now,
+                  service_load load,
+                  bool answered,
+                  uint32_t in_flight,
+                  const concurrency_limit_options& options);
 
   /** Records that an opening waits or is refused. */
   void on_wait(time_us now);
--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -23,8 +23,12 @@
    * doubles in 140 s, so that an overload of a minute does not count as usual,
    * while work that has become longer does after some minutes. */
   double growth = 0.005;
-  /** An answer that takes less than this share of the usual time is a
-   * rejection: the target has not worked on the request. */
+  /** During an overload, lower estimates are ignored for this long after the
+   * last that was taken: rejections are faster than answers, but a usual time
+   * that was learned too high has to fall in the end. */
+  time_us max_ignored = 30 * us_per_s;
+  /** While requests queue, an answer that takes less than this share of the
+   * usual time is a rejection: the target has not worked on the request. */
   double rejected_ratio = 0.2;
   /** An answer is delayed if it takes this many times the usual time: the
    * request has waited for about two others. */
@@ -97,6 +101,7 @@
     std::vector<time_us> window;
     time_us usual = 0;
     time_us updated = 0;  ///< Last estimate.
+    time_us lowered = 0;  ///< Last one that was taken and not higher.
   };
 
   struct service_answers {
--- a/packages/coordination/include/turmeric/coordination/overload/target_weights_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/target_weights_base.h
@@ -29,8 +29,8 @@
   /** Answers that take less than this share of the usual time are failures: the
    * target rejected the request without working on it. */
   double failure_ratio = 0.2;
-  /** What a failed or unanswered request counts, in usual answer times; also
-   * the bound of late answers. */
+  /** What a failure counts, in usual answer times; also the bound of late and
+   * missing answers. */
   double failed_cost = 8.0;
 };
 
@@ -41,14 +41,10 @@
  public:
   explicit target_weights(target_weight_options options) : options_(options) {}
 
-  /** Records an answer of @p target. @param ratio See load_monitor::add(). */
+  /** Records an answer of @p target, or that none came so far. @param ratio See
+   * load_monitor::add(). */
   void add_answer(time_us now, const forwarding_target& target, double ratio);
 
-  /** Records that @p target left a request unanswered. */
-  void add_failure(time_us now, const forwarding_target& target) {
-    add(now, target, options_.failed_cost);
-  }
-
   /** @return The share of new flows for @p target, relative to 1 for one that
    * is like the others of its service. */
   double weight(time_us now, const forwarding_target& target) const;
--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -148,7 +148,8 @@
                       const forwarding_target& target,
                       time_us opened);
 
-  /** Records the answer to a request. @param ratio See load_monitor::add(). */
+  /** Records the answer to a request, or that none came so far. @param ratio
+   * See load_monitor::add(). */
   void on_request_answered(time_us now,
                            const forwarding_target& target,
                            double ratio) {
@@ -156,12 +157,6 @@
       weights_.add_answer(now, target, ratio);
   }
 
-  /** Records that a request was left unanswered. */
-  void on_request_failed(time_us now, const forwarding_target& target) {
-    if (options_.learn_weights)
-      weights_.add_failure(now, target);
-  }
-
   /** @return The target's share of new flows; see target_weights. */
   double weight(time_us now, const forwarding_target& target) const {
     return options_.learn_weights ? weights_.weight(now, target) : 1.0;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -157,15 +157,17 @@
   if (route == nullptr)
     return refuse(s, forwarding_reason::no_route, {});
   const auto it = flows_.find(key_of(s));
+  // A later copy may belong to a flow that another balancer has opened, and a
+  // copy that was delayed on the way to one that is open.
+  bool may_be_open = s.acknowledged != 0;
   if (it != flows_.end()) {
+    may_be_open = may_be_open || (it->second.answered && !it->second.ended);
     if (!it->second.ended &&
         now - it->second.opened < options_.opening_lifetime)
       return on_retransmitted(now, s, waited, *route, &it->second);
     end_flow(now, key_of(s));
   }
-  // A later copy may belong to a flow that another balancer has opened.
-  const bool first = s.acknowledged == 0;
-  return first && options_.admission.enabled
+  return !may_be_open && options_.admission.enabled
              ? admit(now, s, segment_arrived_, *route)
              : open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
@@ -197,16 +199,16 @@
   const route_entry* route = table_->route_at(s.destination);
   if (route == nullptr)
     return refuse(s, forwarding_reason::no_route, {});
-  if (flows_.count(key_of(s)) != 0) {
-    // A copy was placed meanwhile.
-    return {forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
-  }
   return open_flow(now, s, service_of(*route, key_of(s)), 0);
 }
 
 forwarding_decision forwarding_core::decide_released(
     time_us now,
     const released_opening& released) {
+  // A copy was placed meanwhile, and its flow may be open.
+  if (flows_.count(key_of(released.opening)) != 0) {
+    return {forwarding_action::drop, forwarding_reason::waiting, nullptr, {}};
+  }
   // After a pause of this process, a copy may have opened the flow elsewhere.
   if (is_superseded(released.opening, now - released.arrived)) {
     return {
@@ -243,10 +245,12 @@
     admission_.on_started(now, *service);
 }
 
-void forwarding_core::adapt_admission(time_us now, const std::string& service) {
+void forwarding_core::adapt_admission(time_us now,
+                                      const std::string& service,
+                                      bool answered) {
   const service_load load = loads_.load(now, service);
   if (options_.admission.enabled)
-    admission_.on_answer(now, service, load);
+    admission_.on_outcome(now, service, load, answered);
   // Load around the lower threshold would be logged many times a second.
   const bool saturated = load == service_load::saturated;
   const bool changed = saturated ? saturated_.insert(service).second
@@ -413,24 +417,31 @@
         loads_.add(now, target.entry.service, s.destination, took);
     placement_.on_request_answered(now, target, ratio);
     set_in_flight(now, flow, nullptr);
-    adapt_admission(now, target.entry.service);
+    adapt_admission(now, target.entry.service, true);
   }
   const bool closes = s.flags.finishes || s.flags.resets;
-  if (s.data_bytes != 0 && flow->request_started == 0) {
+  if (s.data_bytes != 0 && flow->request_started == 0 && !flow->ended) {
     flow->request_started = now;
     if (options_.admission.enabled)
       set_in_flight(now, flow, &*services_.insert(target.entry.service).first);
   } else if (closes) {
-    end_request(now, flow);
+    end_request(now, key_of(s), flow);
   }
 }
 
-void forwarding_core::end_request(time_us now, flow_state* flow) {
+void forwarding_core::end_request(time_us now,
+                                  const flow_key& key,
+                                  flow_state* flow) {
   set_in_flight(now, flow, nullptr);
-  if (std::exchange(flow->request_started, 0) == 0)
+  const time_us started = std::exchange(flow->request_started, 0);
+  const time_us usual = loads_.usual(key.service);
+  const forwarding_target* target = table_->target_of(flow->token);
+  if (started == 0 || usual == 0 || target == nullptr)
     return;
-  if (const auto* target = table_->target_of(flow->token))
-    placement_.on_request_failed(now, *target);
+  // A caller that gives up early says nothing about the target.
+  const double ratio =
+      static_cast<double>(now - started) / static_cast<double>(usual);
+  placement_.on_request_answered(now, *target, std::max(ratio, 1.0));
 }
 
 void forwarding_core::record_answer(time_us now,
@@ -535,13 +546,13 @@
   }
   flow->counted_unanswered = true;
   ++counters_.unanswered;
-  flow->report_withheld =
-      !repeated && target != nullptr && may_be_full(now, *target);
+  const bool may_be_reset = !repeated && target != nullptr && learns_answers();
+  flow->report_withheld = may_be_reset && may_be_full(now, *target);
   counters_.reports_withheld += flow->report_withheld ? 1 : 0;
   set_in_flight(now, flow, nullptr);
-  if (flow->report_withheld) {
+  if (may_be_reset) {
     loads_.add_reset(now, target->entry.service);
-    adapt_admission(now, target->entry.service);
+    adapt_admission(now, target->entry.service, false);
   }
   if (target != nullptr) {
     placement_.on_unanswered(now, *target, flow->opened,
@@ -622,7 +633,7 @@
       continue;
     }
     it->second.quiet_check_pending = false;
-    end_request(now, &it->second);
+    end_request(now, due_check.key, &it->second);
     set_active(now, &it->second, false);
     idle_checks_.push_back({now + options_.flow_idle_timeout, due_check.key});
   }
--- a/packages/coordination/src/overload/admission.cpp
+++ b/packages/coordination/src/overload/admission.cpp
@@ -84,10 +84,17 @@
                          static_cast<double>(entry.what.latency_objective);
     max_wait = std::min(max_wait, static_cast<time_us>(share));
   }
+  if (entry.what.arrived != 0) {
+    max_wait =
+        std::min(max_wait, entry.what.arrived + options_.last_decision - now);
+  }
   entry.since = now;
   entry.deadline = now + max_wait;
   entry.number = next_number_++;
-  if (max_wait <= 0 || state->queue.expected_wait(now, entry) > max_wait ||
+  const bool has_turn =
+      state->queue.size() < state->limit.room(state->in_flight);
+  if (max_wait <= 0 ||
+      (!has_turn && state->queue.expected_wait(now, entry) > max_wait) ||
       !make_place(now, entry))
     return admission_verdict::refuse;
   state->queue.insert(now, entry);
@@ -146,13 +153,14 @@
   schedule_release(now, it->second);
 }
 
-void admission::on_answer(time_us now,
-                          const std::string& service,
-                          service_load load) {
+void admission::on_outcome(time_us now,
+                           const std::string& service,
+                           service_load load,
+                           bool answered) {
   if (!options_.enabled)
     return;
   service_state& state = state_of(service);
-  state.limit.on_response(now, load, state.in_flight, options_.limit);
+  state.limit.on_outcome(now, load, answered, state.in_flight, options_.limit);
   schedule_release(now, state);
 }
 
--- a/packages/coordination/src/overload/concurrency_limit.cpp
+++ b/packages/coordination/src/overload/concurrency_limit.cpp
@@ -18,18 +18,20 @@
                     options.max_responses);
 }
 
-void concurrency_limit::on_response(time_us now,
-                                    service_load load,
-                                    uint32_t in_flight,
-                                    const concurrency_limit_options& options) {
-  last_response_ = now;
+void concurrency_limit::on_outcome(time_us now,
+                                   service_load load,
+                                   bool answered,
+                                   uint32_t in_flight,
+                                   const concurrency_limit_options& options) {
+  if (answered)
+    last_response_ = now;
   if (!is_set()) {
     if (load != service_load::saturated)
       return;
     limit_ = std::max(1.0, options.initial_share * in_flight);
     responses_ = 0;
     reached_ = false;
-    last_wait_ = now;
+    last_wait_ = last_response_ = now;
     return;
   }
   lift_if_idle(now, load, options);
--- a/packages/coordination/src/overload/load_monitor.cpp
+++ b/packages/coordination/src/overload/load_monitor.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <bitset>
+#include <utility>
 
 namespace turmeric {
 namespace {
@@ -23,17 +24,23 @@
                                 route_times* times) const {
   const double usual = static_cast<double>(times->usual);
   const double change = static_cast<double>(median) - usual;
-  const double elapsed_s = static_cast<double>(now - times->updated) / us_per_s;
+  // After an idle time, the first estimates may be those of an overload.
+  const time_us elapsed =
+      std::min(now - std::exchange(times->updated, now), us_per_s);
+  const double elapsed_s = static_cast<double>(elapsed) / us_per_s;
+  const bool lower_ignored =
+      overloaded && now - times->lowered < options_.max_ignored;
   if (times->usual == 0)
     times->usual = median;
-  else if (change < 0 && overloaded)
+  else if (change < 0 && lower_ignored)
     return;
   else if (change < 0)
     times->usual = static_cast<time_us>(usual + options_.approach * change);
   else
     times->usual = static_cast<time_us>(
         usual + std::min(change, usual * options_.growth * elapsed_s));
-  times->updated = now;
+  if (change <= 0)
+    times->lowered = now;
 }
 
 void load_monitor::count_answer(time_us now,
@@ -42,7 +49,6 @@
   const bool stale = now - answers->last > options_.max_age;
   answers->count = stale ? 1 : std::min(answers->count + 1, options_.recent);
   answers->delayed = (stale ? 0 : answers->delayed << 1) | (delayed ? 1 : 0);
-  answers->last = now;
 }
 
 void load_monitor::add_reset(time_us now, const std::string& service) {
@@ -60,7 +66,8 @@
   const double ratio = times.usual == 0 ? 0.0
                                         : static_cast<double>(took) /
                                               static_cast<double>(times.usual);
-  if (ratio != 0.0 && ratio < options_.rejected_ratio) {
+  if (ratio != 0.0 && ratio < options_.rejected_ratio &&
+      load(now, service) != service_load::normal) {
     add_reset(now, service);
     return ratio;
   }
@@ -76,7 +83,9 @@
   }
   if (ratio == 0.0)
     return ratio;
-  count_answer(now, ratio >= options_.delayed_ratio, &services_[service]);
+  service_answers& answers = services_[service];
+  count_answer(now, ratio >= options_.delayed_ratio, &answers);
+  answers.last = now;
   return ratio;
 }
 
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -398,8 +398,9 @@
                                const forwarding_target& target,
                                time_us opened) {
   target_state& state = targets_[target.token];
-  if (state.unreported != 0)
-    --state.unreported;
+  if (state.unreported == 0)
+    return;  // The target has answered since.
+  --state.unreported;
   add_silence_report(now, target, opened, options_.suspicion_time);
 }
 
--- a/tests/unit/admission_load_test.cpp
+++ b/tests/unit/admission_load_test.cpp
@@ -245,14 +245,14 @@
     balancer& at = balancers_[f.balancer];
     const endpoint route{1000, static_cast<uint16_t>(80 + r.priority)};
     at.monitor.add(now_, "notes", route, now_ - f.started);
-    at.part.on_answer(now_, "notes", at.monitor.load(now_, "notes"));
+    at.part.on_outcome(now_, "notes", at.monitor.load(now_, "notes"), true);
     finish(t, f);
   }
 
   void miss_answer(size_t t, const flow& f) {
     balancer& at = balancers_[f.balancer];
     at.monitor.add_reset(now_, "notes");
-    at.part.on_answer(now_, "notes", at.monitor.load(now_, "notes"));
+    at.part.on_outcome(now_, "notes", at.monitor.load(now_, "notes"), false);
     finish(t, f);
   }
 
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -35,7 +35,7 @@
 
   void answer(int count, service_load load) {
     for (int i = 0; i < count; ++i)
-      part.on_answer(now, service, load);
+      part.on_outcome(now, service, load, true);
   }
 
   /** Sets a limit of 0.8 of @p flows, which is then reached: twice as many are
@@ -452,7 +452,7 @@
     BOOST_TEST_CONTEXT(row.name) {
       admission_fixture f;
       f.saturate(10);
-      f.part.on_answer(f.now, "archive", service_load::saturated);
+      f.part.on_outcome(f.now, "archive", service_load::saturated, true);
       f.part.on_started(f.now, "archive");
       for (uint16_t port = 1; port <= 1024; ++port)
         BOOST_REQUIRE(waits(f.open(f.opening(port, 2))));
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -44,6 +44,48 @@
   uint16_t port = 2000;
 };
 
+/** Two routes of different priority of one service. */
+table_builder two_priorities() {
+  table_builder builder;
+  builder.add("a", "north");
+  routing_entry routing = std::get<routing_entry>(*builder.input.routing);
+  route_entry first = routing.routes.front();
+  first.address.port = 444;
+  routing.routes.front().priority = 1;
+  routing.routes.push_back(first);
+  builder.input.routing = std::make_shared<const directory_value>(routing);
+  return builder;
+}
+
+forwarding_options admission_only() {
+  forwarding_options o = full_target_options();
+  o.admission.enabled = true;
+  return o;
+}
+
+/** A balancer with admission whose service is saturated and whose limit is
+ * reached, so that openings of the lower priority wait. */
+struct saturated_fixture : learned_fixture {
+  saturated_fixture() : learned_fixture(two_priorities(), admission_only()) {
+    saturate();
+  }
+
+  void saturate() {
+    serve(32, 60 * us_per_ms);
+    // The target resets one opening, and the next one reaches the limit.
+    open_flow(++port);
+    wait(41 * us_per_ms);
+    open_flow(++port);
+  }
+
+  segment opening(uint16_t from, uint32_t copy) const {
+    segment s = segment_from(from);
+    s.flags.opens = true;
+    s.acknowledged = copy;
+    return s;
+  }
+};
+
 /** Records @p answers of each target, which take @p ratios of the usual time.
  */
 void add_answers(target_weights* weights,
@@ -283,22 +325,7 @@
   };
   for (const auto& row : rows) {
     BOOST_TEST_CONTEXT(row.name) {
-      table_builder builder;
-      builder.add("a", "north");
-      routing_entry routing = std::get<routing_entry>(*builder.input.routing);
-      route_entry first = routing.routes.front();
-      first.address.port = 444;
-      routing.routes.front().priority = 1;
-      routing.routes.push_back(first);
-      builder.input.routing = std::make_shared<const directory_value>(routing);
-      forwarding_options options = full_target_options();
-      options.admission.enabled = true;
-      learned_fixture balancer(builder, options);
-      balancer.serve(32, 60 * us_per_ms);
-      // The target resets one opening, and the next one reaches the limit.
-      balancer.open_flow(9000);
-      balancer.wait(41 * us_per_ms);
-      balancer.open_flow(9001);
+      saturated_fixture balancer;
       segment s = balancer.segment_from(9999);
       s.flags.opens = true;
       const auto held =
@@ -313,6 +340,83 @@
   }
 }
 
+// Guards against the reset of an open flow: the first copy of an opening is
+// delayed on the way and held, while the next copy opens the flow.
+BOOST_AUTO_TEST_CASE(held_openings_are_not_refused_after_a_copy_was_placed) {
+  for (const bool answered : {false, true}) {
+    saturated_fixture balancer;
+    const segment first = balancer.opening(9999, 0);
+    BOOST_REQUIRE(balancer.core.on_segment(balancer.now, first).action ==
+                  forwarding_action::hold);
+    balancer.wait(10 * us_per_ms);
+    const auto copy =
+        balancer.core.on_segment(balancer.now, balancer.opening(9999, 1));
+    BOOST_REQUIRE(copy.action == forwarding_action::forward);
+    if (answered)
+      balancer.send_request(9999, copy.target->token, 1);
+    balancer.wait(41 * us_per_ms);
+    for (const auto& deferred : balancer.core.take_deferred(balancer.now)) {
+      if (deferred.opening.source.port == 9999)
+        BOOST_CHECK(deferred.decision.action == forwarding_action::drop);
+    }
+  }
+}
+
+// Guards against the refusal of a copy that arrives seconds late, while its
+// flow is open.
+BOOST_AUTO_TEST_CASE(late_copies_of_open_flows_are_not_refused) {
+  saturated_fixture balancer;
+  const auto opened =
+      balancer.core.on_segment(balancer.now, balancer.opening(9999, 1));
+  BOOST_REQUIRE(opened.action == forwarding_action::forward);
+  balancer.wait(us_per_ms);
+  balancer.send_request(9999, opened.target->token, 1);
+  balancer.now += 1600 * us_per_ms;
+  balancer.saturate();
+  const auto late =
+      balancer.core.on_segment(balancer.now, balancer.opening(9999, 0));
+  BOOST_CHECK(late.action == forwarding_action::forward);
+}
+
+// Guards against a limit that outlives its targets: openings that get no answer
+// must not count as answers.
+BOOST_AUTO_TEST_CASE(limit_is_lifted_when_all_targets_die) {
+  saturated_fixture balancer;
+  for (uint16_t port = 20000; port < 20060; ++port) {
+    balancer.open_flow(port);
+    balancer.wait(41 * us_per_ms);
+    balancer.core.take_deferred(balancer.now);
+  }
+  BOOST_CHECK(balancer.open_flow(20100).action == forwarding_action::forward);
+}
+
+// Guards against a usual time that stays too high once it was learned in an
+// overload, and against one that jumps up after an idle time.
+BOOST_AUTO_TEST_CASE(usual_time_follows_quick_answers_and_ignores_idle_time) {
+  load_monitor monitor(defaults);
+  time_us now = us_per_s;
+  add_answers(&monitor, &now, 64, 60 * us_per_ms);
+  add_answers(&monitor, &now, 640, 5 * us_per_ms);
+  BOOST_TEST(monitor.usual(route_address) < 7 * us_per_ms);
+  now += 600 * us_per_s;
+  add_answers(&monitor, &now, 64, 30 * us_per_ms);
+  BOOST_TEST(monitor.usual(route_address) < 8 * us_per_ms);
+  BOOST_TEST(name_of(monitor.load(now, "notes")) == "queueing");
+}
+
+// Guards against a report of silence about a target that has answered since.
+BOOST_AUTO_TEST_CASE(withheld_silence_is_not_reported_after_an_answer) {
+  table_builder builder;
+  builder.add("a", "north");
+  learned_fixture balancer(builder, full_target_options());
+  balancer.open_flow(9000);
+  balancer.wait(100 * us_per_ms);
+  balancer.serve(1, 20 * us_per_ms);
+  balancer.wait(80 * us_per_ms);
+  balancer.repeat_opening(9000, 1);
+  BOOST_TEST(balancer.core.take_reports().empty());
+}
+
 struct weight_row {
   const char* name;
   double first;  ///< Answer times of three targets, in usual ones.
@@ -355,7 +459,7 @@
   time_us now = us_per_s;
   add_answers(&weights, &now, targets, std::vector<double>(20, 1.0), 10);
   for (int i = 0; i < 40; ++i)
-    weights.add_failure(now, targets[0]);
+    weights.add_answer(now, targets[0], 8.0);
   const double failing = weights.weight(now, targets[0]);
   BOOST_TEST(failing >= target_weight_options().min_weight);
   BOOST_TEST(failing < 0.5);
