--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -31,7 +31,7 @@
    * usual time is a rejection: the target has not worked on the request. */
   double rejected_ratio = 0.2;
   /** An answer is delayed if it takes this many times the usual time: the
-   * request has waited for about two others. */
+   * request has waited for about one other. */
   double delayed_ratio = 2.0;
   /** Answers of a service by which its load is judged; at most 64. */
   uint32_t recent = 32;
