Fix: requests that full targets reset show saturation

Cause: a full target answers openings and resets the flow when the request arrives. The balancer saw neither a reset opening nor a delayed answer for 400 ms, so that a service became saturated at 4 of 76 balancers in a burst of 22 times the callers, by single openings lost for another reason, and the rest admitted everything. Change: a request without an answer for eight usual times counts like a reset opening and no longer as in flight. Counter turmeric_requests_lost_total. The new test failed before.

--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <queue>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -153,6 +154,7 @@
   uint64_t reports = 0;     ///< Reports on targets by peers.
   /** Unanswered openings not reported, as the target may be full. */
   uint64_t reports_withheld = 0;
+  uint64_t requests_lost = 0;  ///< Probably reset by their targets.
   uint64_t other_zone = 0;   ///< Openings placed in other zones.
   uint64_t events_lost = 0;  ///< Events discarded: too many pending.
   uint64_t malformed = 0;    ///< Packets that could not be read.
@@ -268,6 +270,15 @@
     flow_key key;
   };
 
+  /** Check whether the request that began at `started` has been answered. */
+  struct request_check {
+    time_us due;
+    time_us started;
+    flow_key key;
+
+    bool operator>(const request_check& other) const { return due > other.due; }
+  };
+
   forwarding_decision decide(time_us now, const segment& s, time_us waited);
   /** Decides on an opening that cannot be placed. */
   static forwarding_decision refuse(const segment& opening,
@@ -321,6 +332,8 @@
                     const forwarding_target& target,
                     bool acknowledges_more,
                     flow_state* flow);
+  /** Schedules the check of the request that the flow has just begun. */
+  void schedule_request_check(time_us now, const flow_key& key);
   /** Ends the wait for an answer that has not come. */
   void end_request(time_us now, const flow_key& key, flow_state* flow);
   bool learns_answers() const {
@@ -344,6 +357,7 @@
                  const forwarding_decision* decision = nullptr,
                  time_us waited = 0);
   void check_answers(time_us now);
+  void check_requests(time_us now);
   void schedule_quiet_check(time_us now, const flow_key& key, flow_state* flow);
   void check_answered(time_us now);
   void check_quiet(time_us now);
@@ -357,6 +371,10 @@
   std::deque<flow_check> answered_checks_;  ///< Of answered active flows.
   std::deque<flow_check> quiet_checks_;     ///< Of active flows.
   std::deque<flow_check> idle_checks_;  ///< Of flows that are no longer active.
+  std::priority_queue<request_check,
+                      std::vector<request_check>,
+                      std::greater<>>
+      request_checks_;
   time_us table_since_ = 0;
   time_us drop_openings_until_ = 0;
   time_us segment_arrived_ = 0;  ///< At the earliest, the one decided on.
--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -42,6 +42,9 @@
    * of a service. It is saturated if targets also reset openings: as long as
    * they take every request, callers only wait. */
   double saturated_share = 0.6;
+  /** A request without an answer for this many usual times was reset by its
+   * target: the queue of a target holds a few requests for each slot. */
+  double lost_ratio = 8.0;
   /** The load is unknown if the last answer is older than this, and the same
    * holds for the last reset opening. */
   time_us max_age = us_per_s;
@@ -73,11 +76,18 @@
              const endpoint& route,
              time_us took);
 
-  /** Records that a target of @p service has probably reset an opening. Counts
-   * as a delayed answer if requests queue: targets that reset openings for
-   * another reason answer the others without delay. */
+  /** Records that a target of @p service has probably reset an opening or a
+   * request. Counts as a delayed answer if requests queue: targets that reset
+   * them for another reason answer the others without delay. */
   void add_reset(time_us now, const std::string& service);
 
+  /** @return The time after which a request on @p route has been reset if it
+   * has no answer; 0 if that is unknown. */
+  time_us lost_after(const endpoint& route) const {
+    return static_cast<time_us>(options_.lost_ratio *
+                                static_cast<double>(usual(route)));
+  }
+
   /** @return The share of delayed answers among the recent ones, 0 if too few
    * or none are recent. */
   double delayed_share(time_us now, const std::string& service) const;
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -422,6 +422,7 @@
   const bool closes = s.flags.finishes || s.flags.resets;
   if (s.data_bytes != 0 && flow->request_started == 0 && !flow->ended) {
     flow->request_started = now;
+    schedule_request_check(now, key_of(s));
     if (options_.admission.enabled)
       set_in_flight(now, flow, &*services_.insert(target.entry.service).first);
   } else if (closes) {
@@ -429,6 +430,15 @@
   }
 }
 
+void forwarding_core::schedule_request_check(time_us now,
+                                             const flow_key& key) {
+  const time_us lost_after = loads_.lost_after(key.service);
+  if (lost_after == 0)
+    return;
+  const time_us due = now + std::min(lost_after, options_.active_timeout);
+  request_checks_.push({due, now, key});
+}
+
 void forwarding_core::end_request(time_us now,
                                   const flow_key& key,
                                   flow_state* flow) {
@@ -584,6 +594,7 @@
 
 void forwarding_core::tick(time_us now) {
   check_answers(now);
+  check_requests(now);
   check_answered(now);
   check_quiet(now);
   check_idle(now);
@@ -600,6 +611,23 @@
   }
 }
 
+void forwarding_core::check_requests(time_us now) {
+  while (!request_checks_.empty() && request_checks_.top().due <= now) {
+    const request_check check = request_checks_.top();
+    request_checks_.pop();
+    const auto it = flows_.find(check.key);
+    if (it == flows_.end() || it->second.request_started != check.started)
+      continue;
+    const forwarding_target* target = table_->target_of(it->second.token);
+    set_in_flight(now, &it->second, nullptr);
+    if (target == nullptr)
+      continue;
+    ++counters_.requests_lost;
+    loads_.add_reset(now, target->entry.service);
+    adapt_admission(now, target->entry.service, false);
+  }
+}
+
 void forwarding_core::check_answered(time_us now) {
   while (!answered_checks_.empty() && answered_checks_.front().due <= now) {
     const flow_check due_check = answered_checks_.front();
@@ -666,6 +694,8 @@
   time_us next = INT64_MAX;
   if (!answer_checks_.empty())
     next = std::min(next, answer_checks_.front().due);
+  if (!request_checks_.empty())
+    next = std::min(next, request_checks_.top().due);
   if (!answered_checks_.empty())
     next = std::min(next, answered_checks_.front().due);
   if (!quiet_checks_.empty())
--- a/packages/state/include/turmeric/state/table/metrics.h
+++ b/packages/state/include/turmeric/state/table/metrics.h
@@ -86,6 +86,13 @@
                 "flows",
                 "service",
                 "Openings that wait for their turn.")
+TURMERIC_METRIC(requests_lost,
+                "turmeric_requests_lost_total",
+                "counter",
+                "requests",
+                "",
+                "Requests without an answer for eight usual times, which their "
+                "targets have probably reset.")
 TURMERIC_METRIC(silence_withheld,
                 "turmeric_silence_withheld_total",
                 "counter",
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -39,6 +39,7 @@
   out->add(metric::unanswered, static_cast<double>(c.unanswered));
   out->add(metric::doubts, static_cast<double>(c.suspicions));
   out->add(metric::reports, static_cast<double>(c.reports));
+  out->add(metric::requests_lost, static_cast<double>(c.requests_lost));
   out->add(metric::silence_withheld, static_cast<double>(c.reports_withheld));
   out->add(metric::malformed, static_cast<double>(c.malformed));
   out->add(metric::flows, static_cast<double>(snapshot.flow_count));
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -378,6 +378,39 @@
   BOOST_CHECK(late.action == forwarding_action::forward);
 }
 
+struct lost_request_row {
+  const char* name;
+  time_us took;  ///< Of the answers before the lost request.
+  time_us waited;
+  service_load expected;
+};
+
+// Targets whose queues are full answer openings and reset the flows when the
+// request arrives. Without unanswered openings no balancer took its service for
+// saturated, and none refused an opening.
+BOOST_AUTO_TEST_CASE(requests_reset_by_full_targets_show_saturation) {
+  constexpr time_us usual = 20 * us_per_ms;
+  const lost_request_row rows[] = {
+      {"waits in a queue", 3 * usual, 7 * usual, service_load::queueing},
+      {"reset", 3 * usual, 9 * usual, service_load::saturated},
+      {"reset for another reason", usual, 9 * usual, service_load::normal},
+  };
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      learned_fixture f(two_priorities(), admission_only());
+      f.serve(32, row.took);
+      const auto opened = f.open_flow(++f.port);
+      f.wait(us_per_ms);
+      f.send_request(f.port, opened.target->token, 1);
+      f.wait(row.waited);
+      BOOST_TEST(name_of(f.core.loads().load(f.now, "notes")) ==
+                 name_of(row.expected));
+      BOOST_TEST(f.core.counters().requests_lost ==
+                 (row.waited > 8 * usual ? 1U : 0U));
+    }
+  }
+}
+
 // Guards against a limit that outlives its targets: openings that get no answer
 // must not count as answers.
 BOOST_AUTO_TEST_CASE(limit_is_lifted_when_all_targets_die) {
