Change: admission starts when a sixteenth is turned away

Cause: one opening without an answer within a second, beside delayed answers, set a limit. Change: a saturated service is overloaded once two of the last 32 openings and requests were turned away. Only that sets a limit; any reset lowers it, as before.

--- a/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
+++ b/packages/coordination/include/turmeric/coordination/overload/load_monitor_base.h
@@ -39,9 +39,14 @@
    * few slow targets, or lost packets, delay fewer. */
   double queueing_share = 0.25;
   /** Share of delayed answers from which requests queue at nearly all targets
-   * of a service. It is saturated if targets also reset openings: as long as
-   * they take every request, callers only wait. */
+   * of a service. It is saturated if targets also turn requests away: as long
+   * as they take every request, callers only wait. */
   double saturated_share = 0.6;
+  /** Share of openings and requests turned away, among as many recent
+   * outcomes, from which a saturated service is overloaded. Callers repeat what
+   * was turned away; while it is less than this, refusals would cost them more.
+   */
+  double turned_away_share = 1.0 / 16;
   /** A request without an answer for this many usual times was reset by its
    * target: the queue of a target holds a few requests for each slot. */
   double lost_ratio = 8.0;
@@ -52,9 +57,10 @@
 
 /** Load of a service, as shown by its answers. */
 enum class service_load : uint8_t {
-  normal,     ///< Also if it is unknown.
-  queueing,   ///< Requests wait at some of its targets.
-  saturated,  ///< The same at nearly all, and full ones reset openings.
+  normal,      ///< Also if it is unknown.
+  queueing,    ///< Requests wait at some of its targets.
+  saturated,   ///< The same at nearly all, and full ones turn some away.
+  overloaded,  ///< Saturated, and a sixteenth or more is turned away.
   end
 };
 
@@ -115,15 +121,20 @@
   };
 
   struct service_answers {
-    uint64_t delayed = 0;  ///< One bit per recent answer.
-    uint32_t count = 0;    ///< Recent answers, up to `recent`.
+    uint64_t delayed = 0;      ///< One bit per recent answer.
+    uint64_t turned_away = 0;  ///< One bit per recent answer or reset.
+    uint32_t count = 0;        ///< Recent answers, up to `recent`.
     time_us last = 0;
-    time_us last_reset = INT64_MIN / 2;  ///< Of an opening, by a target.
+    time_us last_reset = INT64_MIN / 2;  ///< Of an opening or a request.
   };
 
   void count_answer(time_us now, bool delayed, service_answers* answers) const;
-  /** @return Whether targets have reset an opening recently. */
-  bool resets_openings(time_us now, const std::string& service) const;
+  /** @return The share of the recent ones that are set. */
+  double share_of(uint64_t recent_bits) const;
+  /** @return Whether targets have turned something away recently. */
+  bool turns_away(time_us now, const std::string& service) const;
+  /** @return The share turned away among the recent outcomes. */
+  double turned_away_share(const std::string& service) const;
   /** @param overloaded Whether a lower estimate is ignored: rejections are
    * faster than answers. */
   void add_estimate(time_us now,
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -252,7 +252,7 @@
   if (options_.admission.enabled)
     admission_.on_outcome(now, service, load, answered);
   // Load around the lower threshold would be logged many times a second.
-  const bool saturated = load == service_load::saturated;
+  const bool saturated = load >= service_load::saturated;
   const bool changed = saturated ? saturated_.insert(service).second
                                  : saturated_.erase(service) != 0;
   if (!changed)
@@ -430,8 +430,7 @@
   }
 }
 
-void forwarding_core::schedule_request_check(time_us now,
-                                             const flow_key& key) {
+void forwarding_core::schedule_request_check(time_us now, const flow_key& key) {
   const time_us lost_after = loads_.lost_after(key.service);
   if (lost_after == 0)
     return;
--- a/packages/coordination/src/overload/concurrency_limit.cpp
+++ b/packages/coordination/src/overload/concurrency_limit.cpp
@@ -26,7 +26,7 @@
   if (answered)
     last_response_ = now;
   if (!is_set()) {
-    if (load != service_load::saturated)
+    if (load != service_load::overloaded)
       return;
     limit_ = std::max(1.0, options.initial_share * in_flight);
     responses_ = 0;
@@ -40,7 +40,7 @@
   reached_ = reached_ || room(in_flight) == 0;
   if (++responses_ < responses_per_change(options))
     return;
-  if (load == service_load::saturated)
+  if (load >= service_load::saturated)
     limit_ = std::max(1.0, limit_ * options.decrease);
   // A limit that is not reached has no effect on the load. If it rose, it would
   // be far too high at the next saturation.
@@ -58,7 +58,7 @@
 void concurrency_limit::lift_if_idle(time_us now,
                                      service_load load,
                                      const concurrency_limit_options& options) {
-  if (load != service_load::saturated && now - last_wait_ >= options.idle_time)
+  if (load < service_load::saturated && now - last_wait_ >= options.idle_time)
     limit_ = 0.0;
 }
 
--- a/packages/coordination/src/overload/load_monitor.cpp
+++ b/packages/coordination/src/overload/load_monitor.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<size_t>(service_load::end)>
-    load_names = {"normal", "queueing", "saturated"};
+    load_names = {"normal", "queueing", "saturated", "overloaded"};
 
 }  // namespace
 
@@ -53,6 +53,9 @@
 
 void load_monitor::add_reset(time_us now, const std::string& service) {
   service_answers& answers = services_[service];
+  answers.turned_away =
+      now - answers.last_reset > options_.max_age ? 0 : answers.turned_away;
+  answers.turned_away = answers.turned_away << 1 | 1;
   answers.last_reset = now;
   if (load(now, service) != service_load::normal)
     count_answer(now, true, &answers);
@@ -76,8 +79,8 @@
     const auto middle =
         times.window.begin() + static_cast<long>(times.window.size() / 2);
     std::nth_element(times.window.begin(), middle, times.window.end());
-    const bool overloaded = load(now, service) != service_load::normal ||
-                            resets_openings(now, service);
+    const bool overloaded =
+        load(now, service) != service_load::normal || turns_away(now, service);
     add_estimate(now, std::max<time_us>(*middle, 1), overloaded, &times);
     times.window.clear();
   }
@@ -85,6 +88,7 @@
     return ratio;
   service_answers& answers = services_[service];
   count_answer(now, ratio >= options_.delayed_ratio, &answers);
+  answers.turned_away <<= 1;
   answers.last = now;
   return ratio;
 }
@@ -95,27 +99,37 @@
   if (it == services_.end() || it->second.count < options_.recent ||
       now - it->second.last > options_.max_age)
     return 0.0;
+  return share_of(it->second.delayed);
+}
+
+double load_monitor::share_of(uint64_t recent_bits) const {
   const uint64_t considered = options_.recent >= 64
                                   ? ~uint64_t{0}
                                   : (uint64_t{1} << options_.recent) - 1;
   return static_cast<double>(
-             std::bitset<64>(it->second.delayed & considered).count()) /
+             std::bitset<64>(recent_bits & considered).count()) /
          options_.recent;
 }
 
-bool load_monitor::resets_openings(time_us now,
-                                   const std::string& service) const {
+bool load_monitor::turns_away(time_us now, const std::string& service) const {
   const auto it = services_.find(service);
   return it != services_.end() &&
          now - it->second.last_reset <= options_.max_age;
 }
 
+double load_monitor::turned_away_share(const std::string& service) const {
+  return share_of(services_.at(service).turned_away);
+}
+
 service_load load_monitor::load(time_us now, const std::string& service) const {
   const double share = delayed_share(now, service);
-  if (share >= options_.saturated_share && resets_openings(now, service))
-    return service_load::saturated;
-  return share >= options_.queueing_share ? service_load::queueing
-                                          : service_load::normal;
+  if (share < options_.queueing_share)
+    return service_load::normal;
+  if (share < options_.saturated_share || !turns_away(now, service))
+    return service_load::queueing;
+  return turned_away_share(service) < options_.turned_away_share
+             ? service_load::saturated
+             : service_load::overloaded;
 }
 
 time_us load_monitor::usual(const endpoint& route) const {
