Change: equal targets take turns

Cause: a balancer preferred the targets of which it owned a slot by rendezvous hash. Ownership is uneven, so that balancers with one slot sent most flows to one target, and the rest chose at random: busiest target to mean 1.4 to 1.8 in a large fleet. Change: stride scheduling among targets of equal cost; slot owners and their discount are gone, and with them 2 x balancers hashes a target and opening. Tests: the flows of flows_are_spread_evenly_after_a_network_cut are now even before, during and after it; the control run of full_targets_do_not_fill_up shows the fault by a tenth of the tries turned away, since callers now get in time on another try.

--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -4,10 +4,13 @@
  * that see only their own flows, and for targets with a couple of slots, some
  * of them dead, cold or unreachable. The target with the lowest cost gets the
  * flow: its active flows divided by its slots, plus penalties for another
- * availability zone and for unanswered openings. If several targets of a zone
- * leave openings unanswered and none has answered since, the network path to
- * the zone is suspected instead of them. Penalties exclude no target, because
- * there may be no evidence that the others are better.
+ * availability zone and for unanswered openings. Targets of equal cost take
+ * turns by stride scheduling, so that the sum over all balancers is more even
+ * than random choices.
+ * If several targets of a zone leave openings unanswered and none has answered
+ * since, the network path to the zone is suspected instead of them. Penalties
+ * exclude no target, because there may be no evidence that the others are
+ * better.
  */
 #ifndef TURMERIC_COORDINATION_PLACEMENT_BASE_H_
 #define TURMERIC_COORDINATION_PLACEMENT_BASE_H_
@@ -44,10 +47,6 @@
   double other_zone_cost = 0.75;
   /** Time constant of the average of the own zone's load. */
   time_us load_average_time = us_per_s;
-  /** Discount of a target of which this balancer owns a slot. Less than the
-   * cost of one active flow: it only keeps balancers from choosing the same
-   * target. */
-  double slot_owner_discount = 0.2;
   /** Cost of a suspected target per unanswered opening; more than the cost of
    * any queue. */
   double suspect_cost = 100.0;
@@ -229,6 +228,8 @@
     /** Until then it is limited as a cold target: it was down, and the lost
      * registry cannot show whether it restarted. */
     time_us presumed_cold_until = 0;
+    /** Sum of 1 / weight over its flows, as in stride scheduling. */
+    double pass = 0.0;
     time_us cold_next = 0;  ///< Earliest time of the next flow while cold.
   };
 
@@ -256,15 +257,12 @@
       time_us now,
       const std::string& service,
       const std::vector<const forwarding_target*>& candidates) const;
-  bool owns_slot(const forwarding_target& target,
-                 const std::vector<uint64_t>& others) const;
   bool zone_suspected(time_us now, const std::string& zone) const;
-  /** @return Whether this balancer uses the target rather than others of equal
-   * load, so that balancers choose different ones. */
-  bool prefers(time_us now, const forwarding_target& target) const;
+  /** @return The pass of the target; of those of equal cost, the one with the
+   * least pass gets the flow. */
+  double pass_of(const forwarding_target& target) const;
   double cost_of(time_us now,
                  const forwarding_target& target,
-                 bool preferred,
                  double weight) const;
   double health_cost(time_us now, const target_state& state) const;
   /** @return The cost of a recovering target that was probably not down. It
@@ -315,7 +313,9 @@
   std::map<std::string, zone_state> zones_;
   std::set<std::string> silent_zones_;
   std::map<std::string, zone_load> loads_;  ///< By service.
-  std::vector<target_report> reports_;      ///< Not yet taken.
+  /** Highest pass at which a target got a flow, by service. */
+  std::map<std::string, double> last_passes_;
+  std::vector<target_report> reports_;  ///< Not yet taken.
   std::vector<uint64_t> zone_others_;
   bool registry_lost_ = false;
   time_us reports_from_ = 0;      ///< Earlier unanswered openings stay local.
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -29,23 +29,18 @@
       random_(std::move(random)),
       weights_(options_.weights) {}
 
-bool placement::prefers(time_us now, const forwarding_target& target) const {
-  // While the own zone has room, its targets are divided among its balancers
-  // only; beyond that all targets are divided among all balancers.
-  const bool in_zone_only = other_zone_cost_ > 0;
-  const bool own_zone = target.entry.zone == options_.zone;
-  return !zone_restarts_unknown(now, target.entry.zone) &&
-         (own_zone || !in_zone_only) &&
-         owns_slot(target, in_zone_only ? zone_others_ : others_);
+double placement::pass_of(const forwarding_target& target) const {
+  const auto passes = last_passes_.find(target.entry.service);
+  const double last = passes == last_passes_.end() ? 0.0 : passes->second;
+  const auto it = targets_.find(target.token);
+  // A target that was busy or new meanwhile is one flow behind at most.
+  return std::max(last - 1.0, it == targets_.end() ? 0.0 : it->second.pass);
 }
 
 double placement::cost_of(time_us now,
                           const forwarding_target& target,
-                          bool preferred,
                           double weight) const {
   double cost = target.entry.zone == options_.zone ? 0.0 : other_zone_cost_;
-  if (preferred)
-    cost -= options_.slot_owner_discount;
   if (zone_suspected(now, target.entry.zone))
     cost += options_.unreachable_zone_cost;
   const auto it = targets_.find(target.token);
@@ -123,7 +118,7 @@
     double* cost) {
   const forwarding_target* best = nullptr;
   uint64_t ties = 0;
-  double tied_weight = 0.0;
+  double least_pass = 0.0;  ///< Of the targets of least cost.
   *cost = std::numeric_limits<double>::infinity();
   for (const auto* target : candidates) {
     if (now >= target->eligible_until || target->token == avoid)
@@ -133,21 +128,17 @@
     if (cold && !cold_allowed(now, *target))
       continue;
     const double target_weight = weight(now, *target);
-    // A slow target is preferred for its share of the flows, so that among
-    // preferred ones the weight has no further effect.
-    const bool preferred =
-        prefers(now, *target) && (target_weight >= 1.0 || drawn(target_weight));
-    const double draw_weight = preferred ? 1.0 : target_weight;
-    const double target_cost = cost_of(now, *target, preferred, target_weight);
+    const double target_cost = cost_of(now, *target, target_weight);
     if (target_cost > *cost)
       continue;
     const bool cheaper = target_cost < *cost;
-    ties = cheaper ? 1 : ties + 1;
-    tied_weight = (cheaper ? 0.0 : tied_weight) + draw_weight;
+    const double pass = pass_of(*target);
+    if (!cheaper && pass > least_pass)
+      continue;
+    ties = cheaper || pass < least_pass ? 1 : ties + 1;
+    least_pass = pass;
     *cost = target_cost;
-    const bool equal = tied_weight == static_cast<double>(ties);
-    if (ties == 1 ||
-        (equal ? random_() % ties == 0 : drawn(draw_weight / tied_weight)))
+    if (ties == 1 || random_() % ties == 0)
       best = target;
   }
   return best;
@@ -201,20 +192,6 @@
   return slots == 0.0 ? 0.0 : zone_flows / slots;
 }
 
-bool placement::owns_slot(const forwarding_target& target,
-                          const std::vector<uint64_t>& others) const {
-  for (uint64_t slot = 0; slot < target.entry.slots; ++slot) {
-    const uint64_t key = hash_pair(target.token, slot);
-    const uint64_t own = hash_pair(key, self_);
-    const bool owner = std::none_of(
-        others.begin(), others.end(),
-        [&](uint64_t other) { return hash_pair(key, other) < own; });
-    if (owner)
-      return true;
-  }
-  return false;
-}
-
 void placement::set_zone_balancers(std::vector<uint64_t> others) {
   zone_others_ = std::move(others);
 }
@@ -295,6 +272,9 @@
 void placement::on_flow_opened(time_us now, const forwarding_target& target) {
   target_state& state = targets_[target.token];
   ++state.active_flows;
+  double& last = last_passes_[target.entry.service];
+  last = std::max(last, pass_of(target));
+  state.pass = pass_of(target) + 1.0 / weight(now, target);
   add_load(now, target, 1);
   if (state.failures + state.peer_failures != 0 &&
       now >= std::max(state.suspected_until, state.peer_suspected_until))
