Feature: changes of large configurations are pushed as patches

Cause: 240 routes are more than a push may hold, so that each change of the configuration made all 85 balancers read it whole from the store. Change: a watching balancer pushes the difference to the configuration that the receiver has, found by its digest. Heartbeats name features; peers without this one are treated as before. They also name the release, which status and metrics show.

--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -8,6 +8,7 @@
 #ifndef TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
 #define TURMERIC_COORDINATION_DIRECTORY_CORE_BASE_H_
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 #include "turmeric/coordination/directory_replica_base.h"
 #include "turmeric/coordination/forwarding_table_base.h"
 #include "turmeric/coordination/registry_era_base.h"
+#include "turmeric/coordination/routing_history_base.h"
 #include "turmeric/coordination/watcher_selection_base.h"
 
 namespace turmeric {
@@ -27,6 +29,8 @@
   watcher_selection_options selection;
   std::vector<endpoint> seeds;  ///< Addresses of peers to contact.
   uint64_t incarnation = 0;     ///< Start of the process, Unix microseconds.
+  /** Bits of the peer features in use; fewer in tests of mixed releases. */
+  uint32_t features = own_features();
   /** Time after a disturbance from which the platform's bounds hold again. */
   time_us calm_time = 4 * us_per_s;
   /** A watch waits this much shorter than `calm_time`: a connection that fell
@@ -148,6 +152,8 @@
   /** Entries and parts of entries that cannot be read, by kind. */
   std::array<size_t, directory_kinds> unread{};
   uint64_t era = 0;  ///< Of the registry; 0 if unknown.
+  /** Other live balancers by the number of their release. */
+  std::map<uint32_t, size_t> releases;
 };
 
 /** A log line about a change of the replicas or of the registry's state. */
@@ -322,7 +328,7 @@
   void add_withdrawn(time_us now, table_input* input) const;
   void on_peer_hello(time_us now, const peer_hello& hello, actions* out);
   void on_peer_directory(time_us now,
-                         const peer_directory_delta& directory,
+                         const peer_directory_delta& received,
                          actions* out);
   void on_peer_reports(time_us now, const peer_reports& message, actions* out);
   void record_report(time_us now, const target_report& report);
@@ -351,7 +357,16 @@
    * removals since its revision are no longer kept. */
   peer_directory_delta directory_for(time_us now,
                                      directory_kind kind,
-                                     const peer_hello& receiver) const;
+                                     const peer_hello& receiver);
+  /** Replaces the configuration of @p directory by what turns that of
+   * @p receiver into it, if the receiver supports that. */
+  void use_routing_patch(const peer_hello& receiver,
+                         peer_directory_delta* directory);
+  /** Applies the routing patches of @p directory to the own configuration.
+   * @return Whether it is of the state that they were made for. */
+  bool apply_routing_patches(peer_directory_delta* directory) const;
+  /** Adds the newest configuration to the history. */
+  void remember_routing();
   /** @return Whether this balancer watches the kind and its last call did not
    * fail. */
   bool is_watching(directory_kind kind) const;
@@ -371,6 +386,7 @@
   peer_table peers_;
   watcher_selection selection_;
   std::vector<kind_sync> syncs_;
+  routing_history routing_history_;
   registry_era era_;
   time_us last_era_check_ = 0;
   /** Since when a peer that feeds this one has named a lower era; 0 if none. */
@@ -400,6 +416,7 @@
   bool published_ = false;  ///< Whether a table has been published.
   std::vector<uint64_t> published_balancers_;
   std::set<std::string> published_silent_zones_;
+  std::map<uint32_t, size_t> published_releases_;
 };
 
 }  // namespace turmeric
--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -155,9 +155,9 @@
   /** Unanswered openings not reported, as the target may be full. */
   uint64_t reports_withheld = 0;
   uint64_t requests_lost = 0;  ///< Probably reset by their targets.
-  uint64_t other_zone = 0;   ///< Openings placed in other zones.
-  uint64_t events_lost = 0;  ///< Events discarded: too many pending.
-  uint64_t malformed = 0;    ///< Packets that could not be read.
+  uint64_t other_zone = 0;     ///< Openings placed in other zones.
+  uint64_t events_lost = 0;    ///< Events discarded: too many pending.
+  uint64_t malformed = 0;      ///< Packets that could not be read.
 };
 
 struct flow_state {
@@ -371,9 +371,7 @@
   std::deque<flow_check> answered_checks_;  ///< Of answered active flows.
   std::deque<flow_check> quiet_checks_;     ///< Of active flows.
   std::deque<flow_check> idle_checks_;  ///< Of flows that are no longer active.
-  std::priority_queue<request_check,
-                      std::vector<request_check>,
-                      std::greater<>>
+  std::priority_queue<request_check, std::vector<request_check>, std::greater<>>
       request_checks_;
   time_us table_since_ = 0;
   time_us drop_openings_until_ = 0;
--- a/packages/coordination/include/turmeric/coordination/peer_table_base.h
+++ b/packages/coordination/include/turmeric/coordination/peer_table_base.h
@@ -117,6 +117,9 @@
   /** @return Hashes of the names of the live peers. */
   std::vector<uint64_t> alive_ids(time_us now) const;
 
+  /** @return The number of live peers of each release. */
+  std::map<uint32_t, size_t> alive_releases(time_us now) const;
+
   /** @return At most `contact_fanout` addresses to try from which no heartbeat
    * has come yet. */
   std::vector<endpoint> due_contacts(time_us now);
--- a/packages/coordination/src/directory_core.cpp
+++ b/packages/coordination/src/directory_core.cpp
@@ -347,6 +347,8 @@
     const std::vector<replica_change>& changes,
     actions* out) {
   const bool zones_restored = update_lifted_zones(now, kind, changes, out);
+  if (kind == directory_kind::routing && !changes.empty())
+    remember_routing();
   // The first state is logged in one line, apart from unreadable entries: a
   // line for each entry would delay callers of a small instance by tens of
   // milliseconds.
@@ -526,11 +528,12 @@
   const bool first = !std::exchange(published_, true);
   published_balancers_ = peers_.alive_ids(now);
   published_silent_zones_ = peers_.silent_zones(now);
+  published_releases_ = peers_.alive_releases(now);
   out->push_back(publish_table{
       std::make_shared<const forwarding_table>(make_table_input(now)),
       published_balancers_, alive_zone_ids(now), published_silent_zones_,
       sync_of(directory_kind::targets).last_call_failed, count_unread(),
-      era_.current()});
+      era_.current(), published_releases_});
   if (first)
     announce_to_group(now, out);
   if (!early_reports_.empty())
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "turmeric/coordination/directory_core_base.h"
+#include "turmeric/state/release_type.h"
 
 namespace turmeric {
 namespace {
@@ -58,6 +59,10 @@
                directory.removed_names.size() * removed_bytes;
   for (const auto& routing : directory.routings)
     out += routing.routes.size() * route_bytes;
+  for (const auto& patch : directory.routing_patches) {
+    out += patch.changed.size() * route_bytes +
+           patch.removed.size() * removed_bytes;
+  }
   return out;
 }
 
@@ -85,6 +90,8 @@
   hello.leaving = leaving_;
   for (size_t i = 0; i < directory_kinds; ++i)
     hello.summaries[i] = syncs_[i].replica.summary();
+  hello.features = options_.features;
+  hello.release = own_release;
   hello.peers = peers_.addresses_to_share(now);
   for (uint32_t i = 0; i < directory_kinds; ++i) {
     if (is_watching(static_cast<directory_kind>(i)))
@@ -111,7 +118,8 @@
   for (const endpoint& to : peers_.next_round(now, scope))
     out->push_back(send_peer_message{to, hello});
   if (peers_.alive_ids(now) != published_balancers_ ||
-      peers_.silent_zones(now) != published_silent_zones_)
+      peers_.silent_zones(now) != published_silent_zones_ ||
+      peers_.alive_releases(now) != published_releases_)
     publish(now, out);
 }
 
@@ -423,10 +431,9 @@
   }
 }
 
-peer_directory_delta directory_core::directory_for(
-    time_us now,
-    directory_kind kind,
-    const peer_hello& receiver) const {
+peer_directory_delta directory_core::directory_for(time_us now,
+                                                   directory_kind kind,
+                                                   const peer_hello& receiver) {
   const directory_replica& own_replica = replica(kind);
   const registry_version receiver_version =
       receiver.summaries[static_cast<size_t>(kind)].version();
@@ -458,14 +465,71 @@
     if (const auto* routing = std::get_if<routing_entry>(entry.value.get()))
       out.routings.push_back(*routing);
   }
+  if (kind == directory_kind::routing && out.from_revision != 0)
+    use_routing_patch(receiver, &out);
   return out;
 }
 
+void directory_core::use_routing_patch(const peer_hello& receiver,
+                                       peer_directory_delta* directory) {
+  if (!supports(receiver, peer_feature::routing_patches) ||
+      directory->names.size() != 1)
+    return;
+  const auto& theirs =
+      receiver.summaries[static_cast<size_t>(directory_kind::routing)];
+  const routing_patch* patch = routing_history_.patch_from(theirs.digest);
+  if (patch == nullptr)
+    return;
+  directory->routings.clear();
+  directory->routing_patches = {*patch};
+}
+
+bool directory_core::apply_routing_patches(
+    peer_directory_delta* directory) const {
+  if (directory->routing_patches.empty())
+    return true;
+  const directory_replica& own = replica(directory_kind::routing);
+  const routing_patch& patch = directory->routing_patches.front();
+  if (directory->kind != directory_kind::routing ||
+      directory->names.size() != 1 ||
+      patch.base_digest != own.summary().digest ||
+      patch.base_era != own.summary().era)
+    return false;
+  const auto it = own.entries().find(directory->names.front());
+  if (it == own.entries().end() || !it->second.usable() ||
+      it->second.value == nullptr)
+    return false;
+  const auto& base = std::get<routing_entry>(*it->second.value);
+  if (base.version != patch.base_version)
+    return false;
+  auto routing = apply_patch(base, patch);
+  if (!routing.has_value())
+    return false;
+  directory->routings = {std::move(*routing)};
+  return true;
+}
+
+void directory_core::remember_routing() {
+  const directory_replica& own = replica(directory_kind::routing);
+  // A patch is made for the one entry of the platform; with several, the digest
+  // would not tell which of them a peer has.
+  if (own.entries().size() != 1)
+    return;
+  const replica_entry& entry = own.entries().begin()->second;
+  if (entry.usable() && entry.value != nullptr)
+    routing_history_.add(own.summary(), entry.value);
+}
+
 void directory_core::on_peer_directory(time_us now,
-                                       const peer_directory_delta& directory,
+                                       const peer_directory_delta& received,
                                        actions* out) {
+  peer_directory_delta directory = received;
+  if ((options_.features >>
+           static_cast<uint32_t>(peer_feature::routing_patches) &
+       1) == 0)
+    directory.routing_patches.clear();
   if (directory.to_incarnation != options_.incarnation ||
-      !well_formed(directory))
+      !apply_routing_patches(&directory) || !well_formed(directory))
     return;
   kind_sync& sync = sync_of(directory.kind);
   const registry_version version = directory.version();
@@ -484,10 +548,10 @@
   era_.on_peer_state(now, version.era);
   sync.pulls = 0;
   const bool first = !sync.replica.loaded();
-  const auto received = to_changes(now, directory);
+  const auto entries = to_changes(now, directory);
   const auto changes = directory.from_revision == 0
-                           ? sync.replica.replace(now, version, received)
-                           : sync.replica.apply(now, version, received);
+                           ? sync.replica.replace(now, version, entries)
+                           : sync.replica.apply(now, version, entries);
   on_replica_changes(now, directory.kind, "peer", changes, out);
   // In a zone cut off from the registry, changes arrive from peers of other
   // zones and are pushed on. The first state is not a change that others lack.
--- a/packages/coordination/src/peer_table.cpp
+++ b/packages/coordination/src/peer_table.cpp
@@ -249,6 +249,15 @@
   return out;
 }
 
+std::map<uint32_t, size_t> peer_table::alive_releases(time_us now) const {
+  std::map<uint32_t, size_t> out;
+  for (const auto& [address, peer] : peers_) {
+    if (alive(now, peer))
+      ++out[peer.hello.release];
+  }
+  return out;
+}
+
 known_peer* peer_table::find(endpoint address) {
   const auto it = peers_.find(address);
   return it == peers_.end() ? nullptr : &it->second;
--- a/packages/protocol/src/fields_internal.h
+++ b/packages/protocol/src/fields_internal.h
@@ -164,7 +164,19 @@
                 m.watched_kinds,
                 m.requested_kinds,
                 m.requested_if_small,
-                m.relayed_kinds)
+                m.relayed_kinds,
+                m.features,
+                m.release)
+TURMERIC_FIELDS(routing_patch,
+                m.base_digest,
+                m.base_era,
+                m.base_version,
+                m.version,
+                m.changed,
+                m.positions,
+                m.removed,
+                m.services,
+                m.idle_timeout)
 TURMERIC_FIELDS(target_report,
                 m.token,
                 m.observation,
@@ -185,7 +197,8 @@
                 m.removed_revisions,
                 m.targets,
                 m.routings,
-                m.era)
+                m.era,
+                m.routing_patches)
 
 #undef TURMERIC_FIELDS
 
--- a/packages/state/include/turmeric/state/directory_type.h
+++ b/packages/state/include/turmeric/state/directory_type.h
@@ -74,6 +74,8 @@
   uint32_t weight = 0;
 };
 
+bool operator==(const weighted_service& a, const weighted_service& b);
+
 /** Kind of the requests in the flows of a route. Requests of kinds other than
  * `safe` and `download` run at most once. */
 enum class route_kind : uint8_t { safe, unsafe, download, upload, end };
@@ -92,6 +94,11 @@
   std::vector<weighted_service> services;
 };
 
+bool operator==(const route_entry& a, const route_entry& b);
+inline bool operator!=(const route_entry& a, const route_entry& b) {
+  return !(a == b);
+}
+
 /** Limits of one service. */
 struct service_entry {
   std::string name;
@@ -99,6 +106,8 @@
   double cold_per_s = 0.0;  ///< New flows per second to a target in slow start.
 };
 
+bool operator==(const service_entry& a, const service_entry& b);
+
 /** The complete routing configuration. */
 struct routing_entry {
   uint64_t version = 0;
@@ -108,6 +117,11 @@
   time_us idle_timeout = 0;
 };
 
+bool operator==(const routing_entry& a, const routing_entry& b);
+inline bool operator!=(const routing_entry& a, const routing_entry& b) {
+  return !(a == b);
+}
+
 /** A withdrawn availability zone: its targets get no packets. */
 struct withdrawal_entry {
   std::string zone;
--- a/packages/state/include/turmeric/state/peer_message_type.h
+++ b/packages/state/include/turmeric/state/peer_message_type.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "turmeric/state/directory_type.h"
+#include "turmeric/state/routing_patch_type.h"
 #include "turmeric/state/target_report_type.h"
 
 namespace turmeric {
@@ -28,6 +29,18 @@
   return a.digest == b.digest && !in_different_eras(a.version(), b.version());
 }
 
+/** Capabilities of a balancer that its peers have to know before they use them,
+ * as bit numbers. Numbers are never given another meaning. */
+enum class peer_feature : uint8_t {
+  routing_patches,  ///< Reads `routing_patches` of peer_directory_delta.
+  end
+};
+
+/** @return The bits of all features of this version. */
+constexpr uint32_t own_features() {
+  return (1U << static_cast<uint32_t>(peer_feature::end)) - 1;
+}
+
 /** Heartbeat of a balancer, with its pull requests to the receiver. */
 struct peer_hello {
   std::string name;
@@ -50,8 +63,16 @@
   /** One bit per kind whose changes it gets from watching balancers and passes
    * on to its group. */
   uint32_t relayed_kinds = 0;
+  /** One bit per peer_feature that the sender supports, 0 from an earlier
+   * version. */
+  uint32_t features = 0;
+  uint32_t release = 1;  ///< Of the sender; the first one does not send it.
 };
 
+inline bool supports(const peer_hello& hello, peer_feature feature) {
+  return (hello.features >> static_cast<uint32_t>(feature) & 1) != 0;
+}
+
 inline bool watches(const peer_hello& hello, directory_kind kind) {
   return (hello.watched_kinds >> static_cast<uint32_t>(kind) & 1) != 0;
 }
@@ -79,6 +100,9 @@
   std::vector<target_entry> targets;
   std::vector<routing_entry> routings;
   uint64_t era = 0;  ///< Of all revisions of this message; 0 if unknown.
+  /** Instead of `routings`, for receivers that support it: what turns their
+   * configuration into the one of this message. */
+  std::vector<routing_patch> routing_patches;
 
   registry_version version() const { return {era, revision}; }
 };
--- a/packages/state/include/turmeric/state/table/metrics.h
+++ b/packages/state/include/turmeric/state/table/metrics.h
@@ -68,12 +68,14 @@
                 "",
                 "target,zone,service",
                 "Share of new flows, relative to 1 for an equal target.")
-TURMERIC_METRIC(service_load,
-                "turmeric_service_load",
-                "gauge",
-                "",
-                "service",
-                "0 normal, 1 requests queue at some targets, 2 at nearly all.")
+TURMERIC_METRIC(
+    service_load,
+    "turmeric_service_load",
+    "gauge",
+    "",
+    "service",
+    "0 normal, 1 requests queue at some targets, 2 at nearly all and "
+    "some are turned away, 3 a sixteenth or more of them.")
 TURMERIC_METRIC(admission_limit,
                 "turmeric_admission_limit",
                 "gauge",
@@ -141,6 +143,18 @@
                 "balancers",
                 "",
                 "Other balancers that are heard.")
+TURMERIC_METRIC(release,
+                "turmeric_release",
+                "gauge",
+                "",
+                "",
+                "Number of the release of this balancer.")
+TURMERIC_METRIC(peers_by_release,
+                "turmeric_peers_by_release",
+                "gauge",
+                "balancers",
+                "release",
+                "Other live balancers by the number of their release.")
 TURMERIC_METRIC(silent_zones,
                 "turmeric_silent_zones",
                 "gauge",
--- a/packages/state/include/turmeric/state/table/result_codes.h
+++ b/packages/state/include/turmeric/state/table/result_codes.h
@@ -99,4 +99,8 @@
                 65,
                 false,
                 "No current table, or no balancer to forward to.")
+TURMERIC_RESULT(upgrade_unsafe,
+                70,
+                false,
+                "Replacing another balancer now would not keep the bounds.")
 TURMERIC_RESULT(internal, 99, false, "An error inside the program.")
--- a/packages/transport/src/forwarding/forwarder.cpp
+++ b/packages/transport/src/forwarding/forwarder.cpp
@@ -16,6 +16,7 @@
 #include "turmeric/platform/registry_func.h"
 #include "turmeric/protocol/fragment_base.h"
 #include "turmeric/state/log_func.h"
+#include "turmeric/state/release_type.h"
 #include "turmeric/state/service_type.h"
 #include "turmeric/transport/clock_func.h"
 #include "turmeric/transport/http_base.h"
@@ -98,6 +99,7 @@
   http_server metrics_server_;
   registry_call_counts registry_calls_;
   size_t peer_count_ = 0;                         ///< Other live balancers.
+  std::map<uint32_t, size_t> peer_releases_;      ///< The same by release.
   std::array<size_t, directory_kinds> unread_{};  ///< As in publish_table.
   uint64_t registry_era_ = 0;
   std::vector<std::string> silent_zones_;
@@ -187,6 +189,7 @@
     return started;
   log(log_category::control, log_level::info, "started",
       {{"zone", settings_.text(setting::instance_zone)},
+       {"release", std::to_string(own_release)},
        {"packets", to_text(addresses_.packets)},
        {"registry", to_text(addresses_.registry)}});
   loop_.run();
@@ -292,6 +295,7 @@
          {"targets", fmt::format("{}", publication.table->targets().size())}});
   }
   peer_count_ = publication.balancers.size();
+  peer_releases_ = publication.releases;
   unread_ = publication.unread;
   registry_era_ = publication.era;
   silent_zones_.assign(publication.silent_zones.begin(),
@@ -337,6 +341,7 @@
   out.stopping = stopping_;
   out.uptime = boot_now() - started_;
   out.peer_count = peer_count_;
+  out.peer_releases = peer_releases_;
   out.silent_zones = silent_zones_;
   out.unread = unread_;
   out.registry_era = registry_era_;
--- a/packages/transport/src/forwarding/forwarder_pages.cpp
+++ b/packages/transport/src/forwarding/forwarder_pages.cpp
@@ -6,6 +6,7 @@
 #include "turmeric/state/json_func.h"
 #include "turmeric/state/log_func.h"
 #include "turmeric/state/metric_type.h"
+#include "turmeric/state/release_type.h"
 #include "turmeric/state/service_type.h"
 
 namespace turmeric {
@@ -162,6 +163,11 @@
          {"status", std::string(name_of(std::get<registry_status>(key)))}});
   }
   out.add(metric::peers, static_cast<double>(status.peer_count));
+  out.add(metric::release, own_release);
+  for (const auto& [release, count] : status.peer_releases) {
+    out.add(metric::peers_by_release, static_cast<double>(count),
+            {{"release", std::to_string(release)}});
+  }
   out.add(metric::silent_zones,
           static_cast<double>(status.silent_zones.size()));
   out.add(metric::ready, status.ready ? 1 : 0);
@@ -183,6 +189,12 @@
   v["stopping"] = status.stopping;
   v["uptime_s"] = static_cast<double>(status.uptime) / us_per_s;
   v["peers"] = static_cast<Json::UInt64>(status.peer_count);
+  v["release"] = own_release;
+  v["peers_by_release"] = Json::objectValue;
+  for (const auto& [release, count] : status.peer_releases) {
+    v["peers_by_release"][std::to_string(release)] =
+        static_cast<Json::UInt64>(count);
+  }
   v["silent_zones"] = Json::arrayValue;
   for (const auto& zone : status.silent_zones)
     v["silent_zones"].append(zone);
--- a/packages/transport/src/forwarding/forwarder_pages.h
+++ b/packages/transport/src/forwarding/forwarder_pages.h
@@ -24,6 +24,8 @@
   bool stopping = false;
   time_us uptime = 0;
   size_t peer_count = 0;  ///< Other live balancers.
+  /** The same by the number of their release. */
+  std::map<uint32_t, size_t> peer_releases;
   /** No heartbeats arrive from their balancers. */
   std::vector<std::string> silent_zones;
   /** Entries and parts of entries that cannot be read, by kind. */
--- a/tests/emulator/emu_troubles.cpp
+++ b/tests/emulator/emu_troubles.cpp
@@ -484,12 +484,11 @@
 
 void emu_world::change_routing(uint64_t pick) {
   ++routing_.version;
-  const size_t own = options_.shape.request_classes.size();
-  if (pick % 2 == 0 && routing_.routes.size() > own) {
+  if (pick % 2 == 0 && routing_.routes.size() > first_extra_route_) {
     routing_.routes.pop_back();
-  } else if (routing_.routes.size() < own + max_extra_routes) {
+  } else if (routing_.routes.size() < first_extra_route_ + max_extra_routes) {
     route_entry route;
-    route.name = "extra";
+    route.name = "extra-" + std::to_string(routing_.routes.size());
     route.address = {0xc6120002,
                      static_cast<uint16_t>(9000 + routing_.routes.size())};
     route.services = {{options_.shape.services[0].name, 1}};
--- a/tests/emulator/emu_types.h
+++ b/tests/emulator/emu_types.h
@@ -184,6 +184,10 @@
   bool overload_control = false;
   /** Whether, with overload control, all targets keep equal weights. */
   bool equal_weights = false;
+  /** Whether about half of the starts are of balancers without the features of
+   * this release, and the configuration has many idle routes, so that its
+   * changes are pushed as patches. */
+  bool mixed_releases = false;
   std::vector<emu_event> events;
   emu_injected_fault injected_fault = emu_injected_fault::none;
   std::string followed_target;  ///< Target to report on, or empty.
--- a/tests/emulator/emu_world.cpp
+++ b/tests/emulator/emu_world.cpp
@@ -9,6 +9,8 @@
 constexpr uint16_t peer_port = 7720;
 constexpr time_us probe_interval = 500 * us_per_ms;
 constexpr int failed_probes_to_leave = 2;
+/** Too many for a configuration that is pushed whole. */
+constexpr uint16_t idle_routes = 300;
 /** Time from a process's start until its sockets are bound. */
 constexpr time_us boot_time = 30 * us_per_ms;
 /** Time from a process's end until its restart. */
@@ -54,6 +56,9 @@
     route.latency_objective = kind.latency_objective;
     routing_.routes.push_back(route);
   }
+  if (options_.mixed_releases)
+    add_idle_routes();
+  first_extra_route_ = routing_.routes.size();
   for (const auto& service : shape.services)
     routing_.services.push_back({service.name, 2000, 0.0});
   store_.put(directory_kind::routing, "main", routing_);
@@ -82,6 +87,17 @@
     start_balancer(b.get());
 }
 
+void emu_world::add_idle_routes() {
+  constexpr uint16_t first_port = 20000;
+  for (uint16_t i = 0; i < idle_routes; ++i) {
+    route_entry route;
+    route.name = "idle-" + std::to_string(i);
+    route.address = {0xc6120001, static_cast<uint16_t>(first_port + i)};
+    route.services = {{options_.shape.services.front().name, 1}};
+    routing_.routes.push_back(route);
+  }
+}
+
 emu_report emu_world::run() {
   set_up();
   probe_all();
@@ -127,6 +143,8 @@
   directory.peers.zone = zone_name(b->zone);
   directory.peers.address = b->address;
   directory.incarnation = static_cast<uint64_t>(clock_.now()) + 1;
+  if (options_.mixed_releases && chance(0.5))
+    directory.features = 0;
   for (size_t i = 0; i < std::min<size_t>(3, balancers_.size()); ++i)
     directory.seeds.push_back(
         balancers_[i * (balancers_.size() - 1) / 2 % balancers_.size()]
--- a/tests/emulator/emu_world.h
+++ b/tests/emulator/emu_world.h
@@ -125,6 +125,7 @@
 
   // emu_world.cpp: set-up, balancers, calls to the store.
   void set_up();
+  void add_idle_routes();
   void start_balancer(balancer* b);
   void terminate_balancer(balancer* b);
   void stop_balancer(balancer* b);
@@ -276,6 +277,7 @@
   std::multiset<std::pair<size_t, size_t>> cut_pairs_;
   std::map<std::string, time_us> withdrawn_since_;  ///< Zone and since when.
   routing_entry routing_;
+  size_t first_extra_route_ = 0;  ///< Of the routes that are added and removed.
   std::vector<std::pair<uint64_t, time_us>>
       routing_versions_;  ///< Version, time of the write.
   std::map<uint64_t, flow> flows_;
--- a/tests/emulator/emulate_main.cpp
+++ b/tests/emulator/emulate_main.cpp
@@ -22,7 +22,7 @@
     "               [--plant NAME] [--follow TARGET] [--list] [--report]\n"
     "               [--balancers N]\n"
     "               [--targets N] [--reads N] [--recovery] [--large]\n"
-    "               [--overload]\n"
+    "               [--overload] [--mixed]\n"
     "\n"
     "Runs installations in virtual time, from seed N on, and prints violated\n"
     "promises.\n"
@@ -50,7 +50,8 @@
     "some\n"
     "                      balancers have lossy links, or the trouble given\n"
     "  -O, --overload      balancers detect full targets and learn weights of\n"
-    "                      targets\n";
+    "                      targets\n"
+    "  -M, --mixed         half of the starts are of the earlier release\n";
 
 struct command_line {
   uint64_t seed = 1;
@@ -64,6 +65,7 @@
   bool recovery = false;
   bool large = false;
   bool overload = false;
+  bool mixed = false;
   std::string follow;
   size_t balancers = 0;  ///< 0: drawn from the seed.
   size_t targets = 0;    ///< 0: the default.
@@ -107,6 +109,7 @@
 /** Applies the sizes given on the command line. */
 emu_options sized(const command_line& line, emu_options options) {
   options.overload_control = line.overload;
+  options.mixed_releases = line.mixed;
   if (line.balancers != 0)
     options.shape.balancers = line.balancers;
   if (line.targets != 0)
@@ -229,10 +232,11 @@
                             {"recovery", no_argument, nullptr, 'R'},
                             {"large", no_argument, nullptr, 'G'},
                             {"overload", no_argument, nullptr, 'O'},
+                            {"mixed", no_argument, nullptr, 'M'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   command_line line;
-  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:L:o:p:f:B:T:S:lrRGOh",
+  for (int c = 0; (c = getopt_long(argc, argv, "s:n:t:x:L:o:p:f:B:T:S:lrRGOMh",
                                    options, nullptr)) != -1;) {
     switch (c) {
       case 's':
@@ -281,6 +285,9 @@
       case 'O':
         line.overload = true;
         break;
+      case 'M':
+        line.mixed = true;
+        break;
       case 'r':
         line.report = true;
         break;
