Change: a catch-up ends with the state of a watching peer

Change: the catch-up ends once a heartbeat of a watching balancer of the zone shows that it is not ahead; not for targets while a lifted withdrawal waits for a newer revision. The new test failed before.

--- a/packages/coordination/include/turmeric/coordination/directory_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/directory_core_base.h
@@ -367,6 +367,9 @@
   bool apply_routing_patches(peer_directory_delta* directory) const;
   /** Adds the newest configuration to the history. */
   void remember_routing();
+  /** Ends the catch-up with the registry of kinds in which @p feeder, which
+   * watches them for this balancer, is not ahead. */
+  void end_catch_ups(time_us now, const peer_hello& feeder, actions* out);
   /** @return Whether this balancer watches the kind and its last call did not
    * fail. */
   bool is_watching(directory_kind kind) const;
--- a/packages/coordination/src/directory_core_peers.cpp
+++ b/packages/coordination/src/directory_core_peers.cpp
@@ -178,6 +178,7 @@
   compare_era(now, hello, out);
   push_if_behind(now, peer, out);
   pull_if_ahead(now, peer, out);
+  end_catch_ups(now, hello, out);
   if (!complete())
     contact_more_peers(now, out);
 }
@@ -520,6 +521,34 @@
     routing_history_.add(own.summary(), entry.value);
 }
 
+void directory_core::end_catch_ups(time_us now,
+                                   const peer_hello& feeder,
+                                   actions* out) {
+  if (feeder.zone != options_.peers.zone)
+    return;
+  for (size_t i = 0; i < directory_kinds; ++i) {
+    const auto kind = static_cast<directory_kind>(i);
+    kind_sync& sync = syncs_[i];
+    const registry_version own = sync.replica.summary().version();
+    const registry_version theirs = feeder.summaries[i].version();
+    // A lifted withdrawal waits for a newer revision of the targets, which only
+    // the registry gives while no target changes.
+    const bool awaits_revision =
+        kind == directory_kind::targets && !pending_lifts_.empty();
+    if (!sync.catch_up || sync.must_list || watches_registry(sync.role) ||
+        awaits_revision || !watches(feeder, kind) || is_newer(theirs, own) ||
+        in_different_eras(theirs, own))
+      continue;
+    // A failed call says nothing any more: the changes come from the feeder.
+    sync.catch_up = false;
+    sync.failures = 0;
+    const bool was_lost = std::exchange(sync.last_call_failed, false);
+    sync.last_call_lost = false;
+    if (was_lost && kind == directory_kind::targets)
+      publish(now, out);
+  }
+}
+
 void directory_core::on_peer_directory(time_us now,
                                        const peer_directory_delta& received,
                                        actions* out) {
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -537,6 +537,62 @@
   BOOST_TEST(passive_balancers >= 4);
 }
 
+struct catch_up_row {
+  const char* name;
+  uint32_t watched_kinds;  ///< Of the peer that has the same state.
+  const char* zone;
+  bool ends;
+};
+
+// A balancer that the registry refused called it three times a second until it
+// was served again, although the watching balancers of its zone had sent it the
+// changes.
+BOOST_AUTO_TEST_CASE(catch_up_ends_with_the_state_of_a_watching_peer) {
+  const catch_up_row rows[] = {
+      {"watching peer", 7, "north", true},
+      {"peer that does not watch", 0, "north", false},
+      {"watching peer of another zone", 7, "south", false},
+  };
+  for (const auto& row : rows) {
+    int passive_balancers = 0;
+    for (int number = 0; number < 8; ++number) {
+      directory_fixture f(
+          options_of("front-x" + std::to_string(number), own_address));
+      f.load();
+      peer_hello watcher;
+      for (uint32_t i = 1; i <= 8; ++i) {
+        watcher = hello_of_loaded_peer(f, 2 * i);
+        watcher.watched_kinds = 7;
+        f.handle(f.core.on_peer_message(f.now, watcher));
+      }
+      f.now += watcher_selection_options().first_watch_delay;
+      const uint64_t before = f.call(directory_kind::routing).id;
+      f.reply(directory_kind::routing, 10, {});
+      f.advance(directory_options().selection.check_interval);
+      if (f.call(directory_kind::routing).id != before)
+        continue;  // One of the two watching balancers.
+      f.handle(f.core.on_pause(f.now));
+      const uint64_t catch_up = f.call(directory_kind::routing).id;
+      BOOST_REQUIRE(catch_up != before);
+      f.reply(directory_kind::routing, 0, {}, registry_status::throttled);
+      peer_hello same = hello_of_loaded_peer(f, 30);
+      same.zone = row.zone;
+      same.watched_kinds = row.watched_kinds;
+      f.handle(f.core.on_peer_message(f.now, same));
+      const uint64_t last = f.call(directory_kind::routing).id;
+      for (int i = 0; i < 10; ++i) {
+        f.advance(100 * us_per_ms);
+        ++same.sequence;
+        f.handle(f.core.on_peer_message(f.now, same));
+      }
+      ++passive_balancers;
+      BOOST_TEST((f.call(directory_kind::routing).id == last) == row.ends,
+                 row.name);
+    }
+    BOOST_TEST(passive_balancers >= 4);
+  }
+}
+
 // A balancer that finds a newer revision in a peer's heartbeat pulls it from
 // that peer.
 BOOST_AUTO_TEST_CASE(balancer_that_is_behind_pulls_from_the_peer_ahead) {
