--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -24,7 +24,7 @@
     "Usage: soak --daemon PATH [--seed N] [--runs N] [--minutes M]\n"
     "            [--balancers N] [--fault-seconds S] [--promises-only]\n"
     "            [--plant reset-open-flow|move-open-flow|\n"
-    "            reset-opening-copy] [--overload]\n"
+    "            reset-opening-copy] [--overload] [--old-daemon PATH]\n"
     "\n"
     "Starts balancers on loopback addresses 127.10.0.x, injects faults into\n"
     "them, the registry and targets, and checks what callers and targets\n"
@@ -37,7 +37,9 @@
     "fault that the checks must find. With --overload the settings of section\n"
     "[overload] are on, targets have short queues, one in three is slower, "
     "and\n"
-    "in load phases callers ask for three times what they can serve.\n";
+    "in load phases callers ask for three times what they can serve.\n"
+    "With --old-daemon all balancers start with that program, and each is\n"
+    "replaced by the other, back and again, beside the faults.\n";
 
 constexpr std::array<std::string_view, static_cast<size_t>(soak_plant::end)>
     plant_names = {"none", "reset-open-flow", "move-open-flow",
@@ -60,12 +62,13 @@
                             {"fault-seconds", required_argument, nullptr, 'f'},
                             {"plant", required_argument, nullptr, 'x'},
                             {"overload", no_argument, nullptr, 'o'},
+                            {"old-daemon", required_argument, nullptr, 'u'},
                             {nullptr, 0, nullptr, 0}};
   soak_options chosen;
   uint64_t seed = 1;
   uint64_t runs = 1;
   time_us time_limit = INT64_MAX;
-  for (int c = 0; (c = getopt_long(argc, argv, "d:s:n:m:pb:f:x:o", options,
+  for (int c = 0; (c = getopt_long(argc, argv, "d:s:n:m:pb:f:x:ou:", options,
                                    nullptr)) != -1;) {
     switch (c) {
       case 'd':
@@ -98,6 +101,9 @@
       case 'o':
         chosen.overload = true;
         break;
+      case 'u':
+        chosen.old_daemon = optarg;
+        break;
       default:
         fmt::print(stderr, "{}", usage_text);
         return 2;
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -23,6 +23,9 @@
 
   void send_signal(int number);
 
+  /** Sets the program of later starts. */
+  void set_daemon(const std::string& daemon) { daemon_ = daemon; }
+
   /** @return The process id; 0 if the process does not run. */
   pid_t pid() const { return pid_; }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -44,6 +44,8 @@
     schedule_series();
   if (options_.overload)
     schedule_load_phases();
+  if (options_.upgrades())
+    schedule_upgrades();
   schedule(undisturbed_drain_time(), [this] {
     store_.put("servers", traffic_.name_of(0), target_json(0, true));
     traffic_.set_draining(0, boot_now());
@@ -70,6 +72,8 @@
   }
   if (options_.overload)
     check_end_of_overload(all_counts);
+  if (options_.upgrades())
+    check_end_of_upgrade();
   all_counts.violations += exit_faults_.size();
   all_counts.violation_texts.insert(all_counts.violation_texts.end(),
                                     exit_faults_.begin(), exit_faults_.end());
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -15,12 +15,16 @@
 
 struct soak_options {
   std::string daemon;
+  /** Balancer of an earlier release. All balancers start with it and are
+   * replaced by `daemon` and back in turn; empty: `daemon` alone. */
+  std::string old_daemon;
   size_t balancers = default_balancers;
   time_us fault_phase_end = default_fault_phase_end;
   soak_plant plant = soak_plant::none;
   bool promises_only = false;
   bool overload = false;
 
+  bool upgrades() const { return !old_daemon.empty(); }
   bool large() const { return balancers > default_balancers; }
   size_t targets() const { return balancers * 3 / 2; }
 };
--- a/tests/soak/soak_run_internal.h
+++ b/tests/soak/soak_run_internal.h
@@ -22,6 +22,8 @@
  * may go on for 4 s. Balancers are in touch again 4 s later, and the bound on
  * openings at the target applies from 9 s, 3 s after the drain began. */
 constexpr time_us undisturbed_drain_delay = 6 * us_per_s;
+/** Routes of a configuration that is too large to be pushed whole. */
+constexpr size_t upgrade_routes = 300;
 /** From SIGTERM to SIGKILL; also in the settings of the balancers. */
 constexpr time_us stop_grace = 3 * us_per_s;
 
@@ -41,7 +43,8 @@
       store_.put("servers", traffic_.name_of(i), target_json(i, false));
     for (size_t i = 0; i < options_.balancers; ++i) {
       processes_.push_back(std::make_unique<balancer_process>(
-          options_.daemon, write_settings(i)));
+          options_.upgrades() ? options_.old_daemon : options_.daemon,
+          write_settings(i)));
       processes_.back()->start();
     }
   }
@@ -69,7 +72,8 @@
   }
 
   std::string routing_json() const {
-    return routing_text(routing_version_, options_.overload);
+    return routing_text(routing_version_, options_.overload,
+                        options_.upgrades() ? upgrade_routes : 0);
   }
 
   std::string target_json(size_t i, bool draining) const {
@@ -115,6 +119,20 @@
   /** Checks what must hold after the load phases and all faults. */
   void check_end_of_overload(const soak_counts& counts);
 
+  /** Schedules the replacement of each balancer by the new release, back by
+   * the old one and by the new one again, with a change of the configuration at
+   * each step. */
+  void schedule_upgrades();
+  /** @param at Time since the start of the run. */
+  void replace_balancer(size_t number, const std::string& daemon, time_us at);
+
+  /** Checks that all balancers are of the new release and have the same
+   * configuration in force. */
+  void check_end_of_upgrade();
+  /** @return The value of @p key in the status of a balancer; -1 without an
+   * answer. */
+  int64_t status_of(size_t number, const std::string& key) const;
+
   /** Schedules the series of a large fleet. */
   void schedule_series();
 
--- a/tests/soak/soak_settings.cpp
+++ b/tests/soak/soak_settings.cpp
@@ -54,16 +54,27 @@
   return {first_balancer_ip + static_cast<uint32_t>(i), port};
 }
 
-std::string routing_text(int version, bool overload) {
-  const char* second_route =
-      R"(,{"name":"r2","host":"198.18.0.1","path_prefix":"/444/",)"
-      R"("route_type":"safe","service":"notes","priority":1})";
+std::string routing_text(int version, bool overload, size_t idle_routes) {
+  constexpr size_t first_idle_port = 2000;
+  std::string further_routes =
+      overload ? R"(,{"name":"r2","host":"198.18.0.1","path_prefix":"/444/",)"
+                 R"("route_type":"safe","service":"notes","priority":1})"
+               : "";
+  // The one that is left out changes with the version.
+  for (size_t i = 0; i < idle_routes; ++i) {
+    if (i == static_cast<size_t>(version) % idle_routes)
+      continue;
+    further_routes += fmt::format(
+        R"(,{{"name":"idle-{}","host":"198.18.0.1","path_prefix":"/{}/",)"
+        R"("route_type":"safe","service":"notes"}})",
+        i, first_idle_port + i);
+  }
   return fmt::format(
       R"({{"version":{},"routes":[{{"name":"r","host":"198.18.0.1",)"
       R"("path_prefix":"/443/","route_type":"safe","service":"notes"}}{}],)"
       R"("services":[{{"name":"notes","max_conns":2000}}],)"
       R"("limits":{{"idle_timeout_ms":15000}}}})",
-      version, overload ? second_route : "");
+      version, further_routes);
 }
 
 std::string target_text(endpoint address, size_t i, bool draining) {
@@ -86,10 +97,10 @@
       "[instance]\nmode = forwarding\nname = b{}\nzone = zone-{}\n"
       "cluster = soak\nkey = {:064x}\n[forwarding]\npackets = {}\n"
       "ready = {}\npeers = {}\nseeds = {}\nregistry = 127.0.0.1:{}\n"
-      "grace = {}\n{}",
+      "metrics = {}\ngrace = {}\n{}",
       i, i % 2, 42, address(i, first_packet_port), address(i, first_ready_port),
       address(i, first_peer_port), address(0, first_peer_port), registry_port,
-      stop_grace / us_per_s,
+      address(i, first_metrics_port), stop_grace / us_per_s,
       overload ? "[overload]\nfull_targets = true\ntarget_weights = true\n"
                  "admission = true\nmax_wait = 50\ncaller_shares = true\n"
                : "");
--- a/tests/soak/soak_settings.h
+++ b/tests/soak/soak_settings.h
@@ -13,8 +13,9 @@
 
 endpoint balancer_address(size_t i, uint16_t port);
 
-/** @return The routing configuration as JSON. */
-std::string routing_text(int version, bool overload);
+/** @return The routing configuration as JSON.
+ * @param idle_routes Further routes, without traffic. */
+std::string routing_text(int version, bool overload, size_t idle_routes);
 
 /** @return The registry's entry of target @p i as JSON. */
 std::string target_text(endpoint address, size_t i, bool draining);
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -301,6 +301,7 @@
 constexpr uint16_t first_packet_port = 18172;
 constexpr uint16_t first_ready_port = 18167;
 constexpr uint16_t first_peer_port = 17720;
+constexpr uint16_t first_metrics_port = 17600;
 constexpr uint16_t first_target_port = 18080;
 
 }  // namespace turmeric::tests
