Feature: forwarder releases

Cause: an operator could not see how far an upgrade is, nor whether the next balancer may be replaced.

--- a/apps/turmericstream/forwarder_cli.cpp
+++ b/apps/turmericstream/forwarder_cli.cpp
@@ -3,7 +3,10 @@
 #include <fmt/format.h>
 #include <httplib.h>
 
+#include <algorithm>
 #include <charconv>
+#include <map>
+#include <set>
 #include <thread>
 
 #include "cli_base.h"
@@ -56,16 +59,18 @@
 
 void print_status(const Json::Value& v) {
   fmt::print(
-      "{} in {}: {}, up {:.0f} s, {} peers, {} targets, {} flows\n"
+      "{} in {}: {}, release {}, up {:.0f} s, {} peers, {} targets, {} "
+      "flows\n"
       "  routing version {}, table {} ms old; revisions: targets {}, routing "
       "{}, withdrawals {}\n",
       v["name"].asString(), v["zone"].asString(),
       v["ready"].asBool()      ? "ready"
       : v["stopping"].asBool() ? "stopping"
                                : "not ready",
-      v["uptime_s"].asDouble(), v["peers"].asUInt(), v["targets"].asUInt(),
-      v["flows"].asUInt(), v["routing_version"].asUInt64(),
-      v["table_age_ms"].asInt64(), v["revisions"]["targets"].asUInt64(),
+      v.get("release", 1).asUInt(), v["uptime_s"].asDouble(),
+      v["peers"].asUInt(), v["targets"].asUInt(), v["flows"].asUInt(),
+      v["routing_version"].asUInt64(), v["table_age_ms"].asInt64(),
+      v["revisions"]["targets"].asUInt64(),
       v["revisions"]["routing"].asUInt64(),
       v["revisions"]["withdrawals"].asUInt64());
   for (const auto& zone : v["silent_zones"])
@@ -179,6 +184,96 @@
   return boost::outcome_v2::success();
 }
 
+/** What one balancer answers about its release. */
+struct release_row {
+  std::string name;
+  std::string zone;
+  uint32_t release = 1;  ///< The first one does not answer it.
+  bool ready = false;
+  uint64_t routing_version = 0;
+  bool reachable = false;
+};
+
+release_row release_of(const endpoint& balancer) {
+  release_row row;
+  row.name = to_text(balancer);
+  const auto status = fetch_json(balancer, "/status");
+  if (!status)
+    return row;
+  const Json::Value& v = status.value();
+  row.reachable = true;
+  row.name = v["name"].asString();
+  row.zone = v["zone"].asString();
+  row.ready = v["ready"].asBool();
+  row.release = v.get("release", 1).asUInt();
+  row.routing_version = v["routing_version"].asUInt64();
+  return row;
+}
+
+/** @return What speaks against replacing one more of the balancers. */
+std::vector<std::string> replacement_risks(
+    const std::vector<release_row>& rows) {
+  std::vector<std::string> risks;
+  std::set<uint32_t> releases;
+  std::set<uint64_t> routing_versions;
+  std::map<std::string, std::pair<size_t, size_t>> zones;  // Ready, all.
+  for (const auto& row : rows) {
+    if (!row.reachable) {
+      risks.push_back(row.name + " does not answer");
+      continue;
+    }
+    releases.insert(row.release);
+    routing_versions.insert(row.routing_version);
+    zones[row.zone].first += row.ready ? 1 : 0;
+    ++zones[row.zone].second;
+  }
+  for (const auto& [zone, counts] : zones) {
+    const size_t left = counts.first - std::min<size_t>(counts.first, 1);
+    // Routers use all balancers of a zone once less than half are ready.
+    if (2 * left < counts.second)
+      risks.push_back(fmt::format("{} of {} balancers of {} would be ready",
+                                  left, counts.second, zone));
+  }
+  if (routing_versions.size() > 1)
+    risks.emplace_back("balancers have different configurations in force");
+  if (!releases.empty() && *releases.rbegin() > *releases.begin() + 1)
+    risks.emplace_back("releases that are not neighbours run together");
+  return risks;
+}
+
+/** Prints the releases over the balancers, how far an upgrade is, and what
+ * speaks against replacing the next one.
+ * @return `upgrade_unsafe` if something does. */
+result<void> run_releases(const cli_options& options) {
+  std::vector<release_row> rows;
+  uint32_t newest = 0;
+  fmt::print("{:<24}{:<14}{:>8}{:>8}{:>10}\n", "balancer", "zone", "release",
+             "ready", "routing");
+  for (const auto& balancer : options.balancers) {
+    rows.push_back(release_of(balancer));
+    const release_row& row = rows.back();
+    if (!row.reachable) {
+      fmt::print("{:<24}unreachable\n", row.name);
+      continue;
+    }
+    newest = std::max(newest, row.release);
+    fmt::print("{:<24}{:<14}{:>8}{:>8}{:>10}\n", row.name, row.zone,
+               row.release, row.ready ? "yes" : "no", row.routing_version);
+  }
+  const auto upgraded =
+      std::count_if(rows.begin(), rows.end(), [newest](const auto& row) {
+        return row.reachable && row.release == newest;
+      });
+  fmt::print("{} of {} balancers run release {}\n", upgraded, rows.size(),
+             newest);
+  const auto risks = replacement_risks(rows);
+  for (const auto& risk : risks)
+    fmt::print("not safe to replace another one: {}\n", risk);
+  if (!risks.empty())
+    return fail(result_code::upgrade_unsafe, risks.front());
+  return boost::outcome_v2::success();
+}
+
 /** A page that `forwarder` shows. */
 struct page_row {
   std::string_view name;
@@ -202,6 +297,8 @@
       options.arguments.empty() ? "" : options.arguments[0];
   if (wanted == "burn")
     return run_burn(options);
+  if (wanted == "releases")
+    return run_releases(options);
   for (const auto& page : pages()) {
     if (page.name != wanted)
       continue;
@@ -225,7 +322,8 @@
     return boost::outcome_v2::success();
   }
   return fail(result_code::usage,
-              "expected: forwarder status, targets, burn or flows IP:PORT");
+              "expected: forwarder status, targets, burn, releases or flows "
+              "IP:PORT");
 }
 
 result<void> run_metrics_page(const cli_options&) {
