--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -47,6 +47,9 @@
   double other_zone_cost = 0.75;
   /** Time constant of the average of the own zone's load. */
   time_us load_average_time = us_per_s;
+  /** Discount of a target of which this balancer owns a slot, while slots are
+   * scarce. Less than the cost of one active flow. */
+  double slot_owner_discount = 0.2;
   /** Cost of a suspected target per unanswered opening; more than the cost of
    * any queue. */
   double suspect_cost = 100.0;
@@ -107,12 +110,16 @@
   placement(placement_options options, random_source random);
 
   /** Chooses a target for a new flow. Call on_flow_opened() if it is used.
-   * @param avoid Token of a target to avoid if there is another warm one, or
-   * 0. */
+   * @param avoid Token of a target to avoid if there is another warm one, or 0.
+   * @param slots_are_scarce Whether requests queue at the targets. Then each
+   * balancer prefers the targets of which it owns slots: few balancers share a
+   * target and see how it fares. Otherwise targets take turns, as owners differ
+   * in their number of slots. */
   placement_choice choose(time_us now,
                           const forwarding_table& table,
                           const std::string& service,
-                          flow_token avoid);
+                          flow_token avoid,
+                          bool slots_are_scarce = false);
 
   /** Counts a new flow that was sent to the target. */
   void on_flow_opened(time_us now, const forwarding_target& target);
@@ -257,12 +264,18 @@
       time_us now,
       const std::string& service,
       const std::vector<const forwarding_target*>& candidates) const;
+  bool owns_slot(const forwarding_target& target,
+                 const std::vector<uint64_t>& others) const;
+  /** @return Whether this balancer uses the target rather than others of equal
+   * load while slots are scarce, so that balancers choose different ones. */
+  bool prefers(time_us now, const forwarding_target& target) const;
   bool zone_suspected(time_us now, const std::string& zone) const;
   /** @return The pass of the target; of those of equal cost, the one with the
    * least pass gets the flow. */
   double pass_of(const forwarding_target& target) const;
   double cost_of(time_us now,
                  const forwarding_target& target,
+                 bool preferred,
                  double weight) const;
   double health_cost(time_us now, const target_state& state) const;
   /** @return The cost of a recovering target that was probably not down. It
@@ -321,6 +334,8 @@
   time_us reports_from_ = 0;      ///< Earlier unanswered openings stay local.
   double other_zone_cost_ = 0.0;  ///< For the flow that is being placed.
   double light_recovery_cost_ = 0.0;  ///< The same.
+  bool divides_slots_ = false;        ///< The same.
+  bool chosen_as_owner_ = false;      ///< For the last flow that was placed.
 };
 
 }  // namespace turmeric
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -313,7 +313,8 @@
                                                const std::string& service,
                                                flow_token avoid) {
   const placement_choice choice =
-      placement_.choose(now, *table_, service, avoid);
+      placement_.choose(now, *table_, service, avoid,
+                        loads_.load(now, service) != service_load::normal);
   if (choice.target == nullptr) {
     return refuse(s, forwarding_reason::no_target, choice);
   }
--- a/packages/coordination/src/placement.cpp
+++ b/packages/coordination/src/placement.cpp
@@ -29,6 +29,16 @@
       random_(std::move(random)),
       weights_(options_.weights) {}
 
+bool placement::prefers(time_us now, const forwarding_target& target) const {
+  // While the own zone has room, its targets are divided among its balancers
+  // only; beyond that all targets are divided among all balancers.
+  const bool in_zone_only = other_zone_cost_ > 0;
+  const bool own_zone = target.entry.zone == options_.zone;
+  return !zone_restarts_unknown(now, target.entry.zone) &&
+         (own_zone || !in_zone_only) &&
+         owns_slot(target, in_zone_only ? zone_others_ : others_);
+}
+
 double placement::pass_of(const forwarding_target& target) const {
   const auto passes = last_passes_.find(target.entry.service);
   const double last = passes == last_passes_.end() ? 0.0 : passes->second;
@@ -39,8 +49,11 @@
 
 double placement::cost_of(time_us now,
                           const forwarding_target& target,
+                          bool preferred,
                           double weight) const {
   double cost = target.entry.zone == options_.zone ? 0.0 : other_zone_cost_;
+  if (preferred)
+    cost -= options_.slot_owner_discount;
   if (zone_suspected(now, target.entry.zone))
     cost += options_.unreachable_zone_cost;
   const auto it = targets_.find(target.token);
@@ -128,7 +141,10 @@
     if (cold && !cold_allowed(now, *target))
       continue;
     const double target_weight = weight(now, *target);
-    const double target_cost = cost_of(now, *target, target_weight);
+    // A slow target is preferred for its share of the flows.
+    const bool preferred = divides_slots_ && prefers(now, *target) &&
+                           (target_weight >= 1.0 || drawn(target_weight));
+    const double target_cost = cost_of(now, *target, preferred, target_weight);
     if (target_cost > *cost)
       continue;
     const bool cheaper = target_cost < *cost;
@@ -138,8 +154,10 @@
     ties = cheaper || pass < least_pass ? 1 : ties + 1;
     least_pass = pass;
     *cost = target_cost;
-    if (ties == 1 || random_() % ties == 0)
+    if (ties == 1 || random_() % ties == 0) {
       best = target;
+      chosen_as_owner_ = preferred;
+    }
   }
   return best;
 }
@@ -192,6 +210,20 @@
   return slots == 0.0 ? 0.0 : zone_flows / slots;
 }
 
+bool placement::owns_slot(const forwarding_target& target,
+                          const std::vector<uint64_t>& others) const {
+  for (uint64_t slot = 0; slot < target.entry.slots; ++slot) {
+    const uint64_t key = hash_pair(target.token, slot);
+    const uint64_t own = hash_pair(key, self_);
+    const bool owner = std::none_of(
+        others.begin(), others.end(),
+        [&](uint64_t other) { return hash_pair(key, other) < own; });
+    if (owner)
+      return true;
+  }
+  return false;
+}
+
 void placement::set_zone_balancers(std::vector<uint64_t> others) {
   zone_others_ = std::move(others);
 }
@@ -236,8 +268,11 @@
 placement_choice placement::choose(time_us now,
                                    const forwarding_table& table,
                                    const std::string& service,
-                                   flow_token avoid) {
+                                   flow_token avoid,
+                                   bool slots_are_scarce) {
   placement_choice choice;
+  divides_slots_ = slots_are_scarce;
+  chosen_as_owner_ = false;
   const auto& candidates = table.eligible_targets(service);
   choice.candidates = candidates.size();
   if (options_.pick) {
@@ -274,7 +309,9 @@
   ++state.active_flows;
   double& last = last_passes_[target.entry.service];
   last = std::max(last, pass_of(target));
-  state.pass = pass_of(target) + 1.0 / weight(now, target);
+  // Owners have drawn a slow target for its share already.
+  state.pass =
+      pass_of(target) + (chosen_as_owner_ ? 1.0 : 1.0 / weight(now, target));
   add_load(now, target, 1);
   if (state.failures + state.peer_failures != 0 &&
       now >= std::max(state.suspected_until, state.peer_suspected_until))
--- a/tests/unit/overload_test.cpp
+++ b/tests/unit/overload_test.cpp
@@ -549,6 +549,53 @@
   }
 }
 
+struct division_row {
+  const char* name;
+  bool slots_are_scarce;
+};
+
+// Guards against hot targets while there is room, as balancers own unequal
+// numbers of slots, and against balancers that all use the same targets when
+// requests queue.
+BOOST_AUTO_TEST_CASE(slots_are_divided_only_while_requests_queue) {
+  const division_row rows[] = {{"room", false}, {"scarce", true}};
+  for (const auto& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      table_builder builder;
+      for (int i = 0; i < 6; ++i)
+        builder.add("n-" + std::to_string(i), "north");
+      const auto table = builder.table();
+      int most_of_any = 0;
+      for (uint64_t self = 1; self <= 6; ++self) {
+        placement_options options;
+        options.zone = "north";
+        placement balancer(options, seeded_random(self));
+        std::vector<uint64_t> others;
+        for (uint64_t other = 1; other <= 6; ++other) {
+          if (other != self)
+            others.push_back(hash_pair(other, 0));
+        }
+        balancer.set_balancers(hash_pair(self, 0), others);
+        balancer.set_zone_balancers(others);
+        std::map<std::string, int> own;
+        for (int i = 0; i < 300; ++i) {
+          const auto choice = balancer.choose(us_per_s, *table, "notes", 0,
+                                              row.slots_are_scarce);
+          balancer.on_flow_opened(us_per_s, *choice.target);
+          balancer.on_flow_ended(us_per_s, *choice.target);
+          ++own[choice.target->entry.name];
+        }
+        int most = 0;
+        for (const auto& [name, count] : own)
+          most = std::max(most, count);
+        most_of_any = std::max(most_of_any, most);
+      }
+      // An even share is 50 flows.
+      BOOST_TEST((most_of_any <= 51) == !row.slots_are_scarce);
+    }
+  }
+}
+
 // Guards against weights that change the choices among equal targets.
 BOOST_AUTO_TEST_CASE(choices_among_equal_targets_stay_the_same) {
   std::vector<std::string> chosen[2];
