Codechange: split forwarding_core.cpp by subject

Cause: 713 lines with timers and log events among the decisions. One function, add_load_event, is taken out of adapt_admission.

--- a/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
+++ b/packages/coordination/include/turmeric/coordination/forwarding_core_base.h
@@ -356,6 +356,9 @@
                  flow_token token,
                  const forwarding_decision* decision = nullptr,
                  time_us waited = 0);
+  void add_load_event(time_us now,
+                      const std::string& service,
+                      service_load load);
   void check_answers(time_us now);
   void check_requests(time_us now);
   void schedule_quiet_check(time_us now, const flow_key& key, flow_state* flow);
--- a/packages/coordination/src/forwarding_core.cpp
+++ b/packages/coordination/src/forwarding_core.cpp
@@ -8,24 +8,6 @@
 namespace turmeric {
 namespace {
 
-constexpr std::array<std::string_view,
-                     static_cast<size_t>(forwarding_reason::end)>
-    reason_names = {"opened",       "repeated", "moved",      "continued",
-                    "no_table",     "no_route", "no_target",  "unknown_token",
-                    "not_a_caller", "paused",   "superseded", "waiting",
-                    "overloaded"};
-
-constexpr std::array<std::string_view,
-                     static_cast<size_t>(forwarding_event_kind::end)>
-    event_names = {"flow placed",          "flow refused",
-                   "segment dropped",      "flow answered",
-                   "flow ended",           "target left an opening unanswered",
-                   "target answers again", "target reported by a peer",
-                   "service load changed"};
-/** Most events kept until they are taken for the log. Events beyond it are
- * dropped and counted in `events_lost`; the other counters include them. */
-constexpr size_t max_events = 64;
-
 /** @return Whether sequence number @p a is after @p b; the numbers wrap around.
  * A retransmitted segment acknowledges the same number as its first copy, so
  * its number is not later. */
@@ -52,14 +34,6 @@
 
 }  // namespace
 
-std::string_view name_of(forwarding_reason reason) {
-  return reason_names[static_cast<size_t>(reason)];
-}
-
-std::string_view name_of(forwarding_event_kind kind) {
-  return event_names[static_cast<size_t>(kind)];
-}
-
 forwarding_core::forwarding_core(forwarding_options options,
                                  random_source random)
     : options_(options),
@@ -257,17 +231,7 @@
                                  : saturated_.erase(service) != 0;
   if (!changed)
     return;
-  if (events_.size() >= max_events) {
-    ++counters_.events_lost;
-    return;
-  }
-  forwarding_event event;
-  event.kind = forwarding_event_kind::load_changed;
-  event.service = service;
-  event.load = load;
-  event.delayed_share = loads_.delayed_share(now, service);
-  event.table_age = now - table_since_;
-  events_.push_back(std::move(event));
+  add_load_event(now, service, load);
 }
 
 forwarding_decision forwarding_core::on_retransmitted(time_us now,
@@ -341,14 +305,6 @@
   schedule_quiet_check(now, key_of(s), &added);
 }
 
-void forwarding_core::schedule_quiet_check(time_us now,
-                                           const flow_key& key,
-                                           flow_state* flow) {
-  if (std::exchange(flow->quiet_check_pending, true))
-    return;
-  quiet_checks_.push_back({now + options_.active_timeout, key});
-}
-
 void forwarding_core::record_segment(time_us now,
                                      const segment& s,
                                      const forwarding_target& target) {
@@ -431,14 +387,6 @@
   }
 }
 
-void forwarding_core::schedule_request_check(time_us now, const flow_key& key) {
-  const time_us lost_after = loads_.lost_after(key.service);
-  if (lost_after == 0)
-    return;
-  const time_us due = now + std::min(lost_after, options_.active_timeout);
-  request_checks_.push({due, now, key});
-}
-
 void forwarding_core::end_request(time_us now,
                                   const flow_key& key,
                                   flow_state* flow) {
@@ -463,71 +411,6 @@
   placement_.on_answer(now, target, alive_at);
 }
 
-bool forwarding_core::is_logged(const flow_key& key) const {
-  return options_.log_one_in != 0 && hash_of(key) % options_.log_one_in == 0;
-}
-
-void forwarding_core::log_decision(time_us now,
-                                   const segment& s,
-                                   const forwarding_decision& decision,
-                                   time_us waited) {
-  const flow_key key = key_of(s);
-  const bool opening = decision.action == forwarding_action::forward &&
-                       decision.reason != forwarding_reason::continued;
-  if (decision.action == forwarding_action::hold) {
-    return;  // Logged with its outcome.
-  }
-  if (decision.action == forwarding_action::reset) {
-    add_event(now, forwarding_event_kind::refused, key, 0, &decision, waited);
-  } else if (decision.action == forwarding_action::drop) {
-    add_event(now, forwarding_event_kind::dropped, key, s.token, &decision);
-  } else if (opening) {
-    counters_.other_zone +=
-        decision.target->entry.zone != options_.placing.zone ? 1 : 0;
-    // Retransmitted openings are rare and indicate failures, so all are logged.
-    if (is_logged(key) || decision.reason != forwarding_reason::opened) {
-      add_event(now, forwarding_event_kind::placed, key, decision.target->token,
-                &decision, waited);
-    }
-  }
-}
-
-void forwarding_core::add_event(time_us now,
-                                forwarding_event_kind kind,
-                                const flow_key& key,
-                                flow_token token,
-                                const forwarding_decision* decision,
-                                time_us waited) {
-  if (events_.size() >= max_events) {
-    ++counters_.events_lost;
-    return;
-  }
-  forwarding_event event;
-  event.kind = kind;
-  event.flow = key;
-  event.token = token;
-  event.waited = waited;
-  event.table_age = table_ == nullptr ? 0 : now - table_since_;
-  if (decision != nullptr) {
-    event.reason = decision->reason;
-    event.candidates = decision->choice.candidates;
-    event.cost = decision->choice.cost;
-  }
-  const auto flow = flows_.find(key);
-  if (flow != flows_.end())
-    event.since_opening = now - flow->second.opened;
-  const forwarding_target* target =
-      table_ == nullptr ? nullptr : table_->target_of(token);
-  if (target != nullptr) {
-    event.target = target->entry.name;
-    event.zone = target->entry.zone;
-    event.failures = placement_.failures(token);
-    event.reported = placement_.reported_failures(token);
-    event.active_flows = placement_.active_flows(token);
-  }
-  events_.push_back(std::move(event));
-}
-
 void forwarding_core::set_active(time_us now, flow_state* flow, bool active) {
   if (flow->active == active)
     return;
@@ -592,97 +475,6 @@
   flows_.erase(it);
 }
 
-void forwarding_core::tick(time_us now) {
-  check_answers(now);
-  check_requests(now);
-  check_answered(now);
-  check_quiet(now);
-  check_idle(now);
-}
-
-void forwarding_core::check_answers(time_us now) {
-  while (!answer_checks_.empty() && answer_checks_.front().due <= now) {
-    const flow_check due_check = answer_checks_.front();
-    answer_checks_.pop_front();
-    const auto it = flows_.find(due_check.key);
-    if (it != flows_.end() &&
-        it->second.opened <= due_check.due - options_.answer_timeout)
-      count_unanswered(now, due_check.key, &it->second, false);
-  }
-}
-
-void forwarding_core::check_requests(time_us now) {
-  while (!request_checks_.empty() && request_checks_.top().due <= now) {
-    const request_check check = request_checks_.top();
-    request_checks_.pop();
-    const auto it = flows_.find(check.key);
-    if (it == flows_.end() || it->second.request_started != check.started)
-      continue;
-    const forwarding_target* target = table_->target_of(it->second.token);
-    set_in_flight(now, &it->second, nullptr);
-    if (target == nullptr)
-      continue;
-    ++counters_.requests_lost;
-    loads_.add_reset(now, target->entry.service);
-    adapt_admission(now, target->entry.service, false);
-  }
-}
-
-void forwarding_core::check_answered(time_us now) {
-  while (!answered_checks_.empty() && answered_checks_.front().due <= now) {
-    const flow_check due_check = answered_checks_.front();
-    answered_checks_.pop_front();
-    const auto it = flows_.find(due_check.key);
-    if (it == flows_.end())
-      continue;
-    flow_state& flow = it->second;
-    flow.answered_check_pending = false;
-    if (!flow.active || flow.awaits_answer)
-      continue;
-    if (now - flow.last_segment >= options_.answered_timeout) {
-      set_active(now, &flow, false);
-    } else {
-      flow.answered_check_pending = true;
-      answered_checks_.push_back(
-          {now + options_.answered_timeout, due_check.key});
-    }
-  }
-}
-
-void forwarding_core::check_quiet(time_us now) {
-  while (!quiet_checks_.empty() && quiet_checks_.front().due <= now) {
-    const flow_check due_check = quiet_checks_.front();
-    quiet_checks_.pop_front();
-    const auto it = flows_.find(due_check.key);
-    if (it == flows_.end())
-      continue;
-    if (now - it->second.last_segment < options_.active_timeout) {
-      quiet_checks_.push_back({now + options_.active_timeout, due_check.key});
-      continue;
-    }
-    it->second.quiet_check_pending = false;
-    end_request(now, due_check.key, &it->second);
-    set_active(now, &it->second, false);
-    idle_checks_.push_back({now + options_.flow_idle_timeout, due_check.key});
-  }
-}
-
-void forwarding_core::check_idle(time_us now) {
-  while (!idle_checks_.empty() && idle_checks_.front().due <= now) {
-    const flow_check due_check = idle_checks_.front();
-    idle_checks_.pop_front();
-    const auto it = flows_.find(due_check.key);
-    // A flow that continues gets a new check when it turns quiet again.
-    if (it == flows_.end() || it->second.quiet_check_pending)
-      continue;
-    if (now - it->second.last_segment >= options_.flow_idle_timeout) {
-      end_flow(now, due_check.key);
-    } else {
-      idle_checks_.push_back({now + options_.flow_idle_timeout, due_check.key});
-    }
-  }
-}
-
 void forwarding_core::for_each_flow(
     const std::function<void(const flow_key&, const flow_state&)>& visit)
     const {
@@ -690,19 +482,4 @@
     visit(key, flow);
 }
 
-time_us forwarding_core::next_tick() const {
-  time_us next = INT64_MAX;
-  if (!answer_checks_.empty())
-    next = std::min(next, answer_checks_.front().due);
-  if (!request_checks_.empty())
-    next = std::min(next, request_checks_.top().due);
-  if (!answered_checks_.empty())
-    next = std::min(next, answered_checks_.front().due);
-  if (!quiet_checks_.empty())
-    next = std::min(next, quiet_checks_.front().due);
-  if (!idle_checks_.empty())
-    next = std::min(next, idle_checks_.front().due);
-  return std::min(next, admission_.next_due());
-}
-
 }  // namespace turmeric
