--- a/tests/unit/table/wire_release_1.h
+++ b/tests/unit/table/wire_release_1.h
@@ -1,8 +1,8 @@
 /** @file wire_release_1.h Datagrams of the examples in wire_examples.h as the
  * first release, dc8ddeb, encodes them, in hex.
  *
- * Columns: name of the example, datagram. Rows are never changed: a release that
- * writes another form gets a table of its own.
+ * Columns: name of the example, datagram. Rows are never changed: a release
+ * that writes another form gets a table of its own.
  */
 // clang-format off
 WIRE_EXAMPLE(hello,
