Doc: what placement prefers among equal targets

Cause: the file comment was broken in two by the sentence on turns. Change: a paragraph of its own, with the owners. Comment only. Result: none on the program.

--- a/packages/coordination/include/turmeric/coordination/placement_base.h
+++ b/packages/coordination/include/turmeric/coordination/placement_base.h
@@ -4,13 +4,14 @@
  * that see only their own flows, and for targets with a couple of slots, some
  * of them dead, cold or unreachable. The target with the lowest cost gets the
  * flow: its active flows divided by its slots, plus penalties for another
- * availability zone and for unanswered openings. Targets of equal cost take
- * turns by stride scheduling, so that the sum over all balancers is more even
- * than random choices.
- * If several targets of a zone leave openings unanswered and none has answered
- * since, the network path to the zone is suspected instead of them. Penalties
- * exclude no target, because there may be no evidence that the others are
- * better.
+ * availability zone and for unanswered openings. If several targets of a zone
+ * leave openings unanswered and none has answered since, the network path to
+ * the zone is suspected instead of them. Penalties exclude no target, because
+ * there may be no evidence that the others are better.
+ *
+ * Targets of equal cost take turns by stride scheduling, so that the sum over
+ * all balancers is more even than random choices. While requests queue, each
+ * balancer prefers the targets of which it owns slots.
  */
 #ifndef TURMERIC_COORDINATION_PLACEMENT_BASE_H_
 #define TURMERIC_COORDINATION_PLACEMENT_BASE_H_
