--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -562,7 +562,8 @@
   std::string tmp_;
   bool trouble_;
   std::mt19937_64 random_{20261204};
-  std::unique_ptr<store> store_;
+  // Never deleted: its threads run until the program exits.
+  store* store_ = nullptr;
   uint16_t base_port_ = 0;
   std::vector<std::unique_ptr<node>> nodes_;
   std::vector<std::unique_ptr<endpoint>> endpoints_;
@@ -641,8 +642,7 @@
   }
   if (run_command_.empty() || access(run_command_.c_str(), X_OK) != 0)
     cannot_run("the program of deploy/system.toml is not built");
-  store_ =
-      std::make_unique<store>(loopback_address(4, 1), store_port(base_port_));
+  store_ = new store(loopback_address(4, 1), store_port(base_port_));
 }
 
 world::~world() {
