Codechange: review cases 1 and 2 play both services

The stand-ins learn a silent store, the store's return from a copy, and the second service of the installation, for the next cases.

--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -141,9 +141,11 @@
                const std::string& name,
                const std::string& spec) {
     const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = objects_[kind].find(name);
+    if (found != objects_[kind].end() && found->second.spec == spec)
+      return found->second.revision;  // Changes nothing, so no event.
+    past_.push_back({now(), revision_, objects_});
     object& o = objects_[kind][name];
-    if (o.revision != 0 && o.spec == spec)
-      return o.revision;  // A PUT that changes nothing produces no event.
     o.spec = spec;
     o.revision = ++revision_;
     if (o.created == 0)
@@ -158,12 +160,40 @@
     const auto it = objects_[kind].find(name);
     if (it == objects_[kind].end())
       return;
+    past_.push_back({now(), revision_, objects_});
     it->second.revision = ++revision_;
     events_.push_back({revision_, kind, event_json(name, it->second, true)});
     objects_[kind].erase(it);
     changed_.notify_all();
   }
 
+  // Comes back from a copy that is @p age old, in the next era. Watches that
+  // wait are cut off.
+  void restore(ms age) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const ms copied = now() - age;
+    while (!past_.empty() && past_.back().replaced > copied) {
+      revision_ = past_.back().revision;
+      objects_ = past_.back().objects;
+      past_.pop_back();
+    }
+    while (!events_.empty() && events_.back().revision > revision_)
+      events_.pop_back();
+    ++era_;
+    ++silences_;
+    changed_.notify_all();
+  }
+
+  // While it is silent, calls get no answer, and neither do those that waited
+  // when it fell silent. put() and remove() work: a writer that waits for the
+  // store calls them later.
+  void set_silent(bool silent) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    silent_ = silent;
+    silences_ += silent ? 1 : 0;
+    changed_.notify_all();
+  }
+
   uint64_t calls() const { return calls_; }
 
  private:
@@ -177,6 +207,13 @@
     std::string kind;
     std::string json;
   };
+  using object_map = std::map<std::string, std::map<std::string, object>>;
+  // A state that a change replaced.
+  struct past_state {
+    ms replaced;
+    uint64_t revision;
+    object_map objects;
+  };
   static constexpr size_t page_items = 500;
 
   static std::string object_json(const std::string& name, const object& o) {
@@ -227,12 +264,21 @@
       ++calls_;
       usleep(4000);  // The store's usual time for an answer.
       int status = 200;
+      uint64_t era = 0;
       const std::string body = line.rfind("GET ", 0) == 0
-                                   ? answer(target, &status)
+                                   ? answer(target, &status, &era)
                                    : (status = 405, "{}");
+      if (status == 0) {
+        // The connection stays open and returns nothing further.
+        while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        }
+        return;
+      }
       const std::string response =
           "HTTP/1.1 " + std::to_string(status) +
-          " x\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+          " x\r\nContent-Type: application/json\r\nStore-Era: " +
+          std::to_string(era) +
+          "\r\n"
           "Content-Length: " +
           std::to_string(body.size()) + "\r\n\r\n" + body;
       size_t sent = 0;
@@ -274,7 +320,9 @@
     return out;
   }
 
-  std::string answer(const std::string& target, int* status) {
+  // @param era Set to the era of the answer.
+  // @return The body; status 0 stands for no answer.
+  std::string answer(const std::string& target, int* status, uint64_t* era) {
     const std::string prefix = "/v1/objects/";
     if (target.rfind(prefix, 0) != 0) {
       *status = 404;
@@ -283,6 +331,11 @@
     const std::string path =
         target.substr(prefix.size(), target.find('?') - prefix.size());
     std::unique_lock<std::mutex> lock(mutex_);
+    *era = era_;
+    if (silent_) {
+      *status = 0;
+      return "";
+    }
     const size_t slash = path.find('/');
     if (slash != std::string::npos) {
       const auto& kind = objects_[path.substr(0, slash)];
@@ -293,11 +346,19 @@
       return "{}";
     }
     const std::string watch = parameter(target, "watch");
-    return watch.empty()
-               ? list(path, parameter(target, "after"))
-               : watched(path, std::strtoull(watch.c_str(), nullptr, 10),
-                         std::atof(parameter(target, "wait_ms").c_str()),
-                         &lock);
+    if (watch.empty())
+      return list(path, parameter(target, "after"));
+    const uint64_t from = std::strtoull(watch.c_str(), nullptr, 10);
+    if (from > revision_) {
+      *status = 410;
+      return "{}";
+    }
+    const uint64_t silences = silences_;
+    const std::string body = watched(
+        path, from, std::atof(parameter(target, "wait_ms").c_str()), &lock);
+    if (silences != silences_)
+      *status = 0;
+    return body;
   }
 
   std::string list(const std::string& kind, const std::string& after) {
@@ -325,7 +386,8 @@
     const auto until = std::chrono::steady_clock::now() +
                        std::chrono::microseconds(
                            static_cast<int64_t>(std::min(wait, 30e3) * 1e3));
-    while (true) {
+    const uint64_t silences = silences_;
+    while (silences == silences_) {
       std::string out;
       for (const auto& e : events_) {
         if (e.kind == kind && e.revision > from)
@@ -337,13 +399,18 @@
                "],\"store_revision\":" + std::to_string(revision_) + "}";
       }
     }
+    return "";
   }
 
   int listener_ = -1;
   std::mutex mutex_;
   std::condition_variable changed_;
+  bool silent_ = false;
+  uint64_t silences_ = 0;
   uint64_t revision_ = 10;
-  std::map<std::string, std::map<std::string, object>> objects_;
+  uint64_t era_ = 1;
+  object_map objects_;
+  std::vector<past_state> past_;
   std::vector<event> events_;
   std::atomic<uint64_t> calls_{0};
 };
@@ -514,6 +581,8 @@
   void crash_endpoint(size_t i);
   void drain_endpoint(size_t i);
   void leave(size_t i);
+  void set_store_silent(bool silent);
+  void restore_store(ms age);
 
   void start_node(size_t i);
   void kill_node(size_t i, int signal);
@@ -543,6 +612,7 @@
   void write_settings(const node& n, const std::string& path) const;
   void probe_loop(node* n);
   std::string spec_of(const endpoint& e) const;
+  void write_entry(size_t i);
   void open_flow(const std::string& zone, uint16_t port);
   void send_opening(client_flow* f);
   void send_request(client_flow* f);
@@ -560,6 +630,7 @@
   }
 
   std::string tmp_;
+  bool store_silent_ = false;
   bool trouble_;
   std::mt19937_64 random_{20261204};
   // Never deleted: its threads run until the program exits.
@@ -843,7 +914,7 @@
   e.queue.clear();
   e.busy = 0;
   ++e.lifetime;
-  store_->put("servers", e.id, spec_of(e));
+  write_entry(i);
   // Datagrams that came while it was down are lost.
   char buffer[2048];
   while (recv(e.fd, buffer, sizeof(buffer), 0) >= 0) {
@@ -856,7 +927,45 @@
     after(1200.0 * beat, [this, i, lifetime] {
       endpoint& again = *endpoints_[i];
       if (again.alive && again.lifetime == lifetime)
-        store_->put("servers", again.id, spec_of(again));
+        write_entry(i);
+    });
+  }
+}
+
+// Writes the endpoint's entry; while the store is silent, repeats the call
+// every 200 ms.
+void world::write_entry(size_t i) {
+  const endpoint& e = *endpoints_[i];
+  if (!store_silent_) {
+    store_->put("servers", e.id, spec_of(e));
+    return;
+  }
+  const size_t lifetime = e.lifetime;
+  after(200, [this, i, lifetime] {
+    if (endpoints_[i]->alive && endpoints_[i]->lifetime == lifetime)
+      write_entry(i);
+  });
+}
+
+void world::set_store_silent(bool silent) {
+  store_silent_ = silent;
+  store_->set_silent(silent);
+  record(silent ? "the store falls silent" : "the store answers again");
+}
+
+// Lets the store return from a copy. Each endpoint writes its entry again at
+// its next ping.
+void world::restore_store(ms age) {
+  store_silent_ = false;
+  store_->set_silent(false);
+  store_->restore(age);
+  record("the store is back from a copy %.0f ms old", age);
+  std::uniform_real_distribution<double> ping(0, 1200);
+  for (size_t i = 0; i < endpoints_.size(); ++i) {
+    const size_t lifetime = endpoints_[i]->lifetime;
+    after(ping(random_), [this, i, lifetime] {
+      if (endpoints_[i]->alive && endpoints_[i]->lifetime == lifetime)
+        write_entry(i);
     });
   }
 }
@@ -880,7 +989,8 @@
   endpoint& e = *endpoints_[i];
   store_->remove("servers", e.id);
   e.alive = false;
-  record("endpoint %s left", e.id.c_str());
+  record("endpoint %s left; %zu requests that it had accepted get no answer",
+         e.id.c_str(), e.busy + e.queue.size());
 }
 
 void world::add_load(const std::string& zone, uint16_t port, double per_s) {
@@ -1273,20 +1383,31 @@
          ",\"routes\":[{\"name\":\"r-card\",\"host\":\"" + host +
          "\",\"path_prefix\":\"/8080/\",\"route_type\":\"safe\","
          "\"timeout_ms\":800,\"target_latency_ms\":120,\"priority\":2,"
-         "\"service\":\"table-desk\",\"max_attempts\":2}],"
-         "\"services\":[{\"name\":\"table-desk\",\"health_path\":\"/health\","
+         "\"service\":\"table-desk\",\"max_attempts\":2},"
+         "{\"name\":\"r-archive\",\"host\":\"" +
+         host +
+         "\",\"path_prefix\":\"/8443/\",\"route_type\":\"download\","
+         "\"timeout_ms\":3000,\"target_latency_ms\":500,\"priority\":2,"
+         "\"service\":\"archive-shelf\",\"max_attempts\":2}],"
+         "\"services\":[{\"name\":\"archive-shelf\",\"health_path\":"
+         "\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,"
+         "\"cold_start_s\":2.0,\"cold_per_s\":0.0},"
+         "{\"name\":\"table-desk\",\"health_path\":\"/health\","
          "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false,"
          "\"cold_start_s\":2.0,\"cold_per_s\":0.0}],"
          "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
          "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 }
 
-// Six balancers, 14 endpoints and the usual load of the notes service's live
-// service, as in the installation kitakiroku.
-void add_kitakiroku(world* w, double load_share) {
+// Six balancers, and the endpoints and clients of both services, as in the
+// installation kitakiroku.
+// @param load_share Of the usual load of table-desk.
+// @return The index of the first endpoint of archive-shelf.
+size_t add_kitakiroku(world* w, double load_share) {
   const std::array<size_t, 4> node_counts = {2, 2, 1, 1};
   const std::array<size_t, 4> endpoint_counts = {4, 4, 3, 3};
   const std::array<double, 4> per_s = {83, 111, 95, 87};
+  const std::array<double, 4> archive_per_s = {5.5, 7.4, 6.3, 5.8};
   for (size_t z = 0; z < zones.size(); ++z) {
     for (size_t i = 0; i < node_counts[z]; ++i)
       w->add_node(zones[z]);
@@ -1294,10 +1415,16 @@
       w->add_endpoint("table-desk", zones[z]);
     w->add_load(zones[z], 8080, per_s[z] * load_share);
   }
+  const size_t first_archive = w->endpoint_count();
+  for (size_t z = 0; z < zones.size(); ++z) {
+    w->add_endpoint("archive-shelf", zones[z]);
+    w->add_load(zones[z], 8443, archive_per_s[z]);
+  }
   w->put_config(config_json(7));
   for (size_t i = 0; i < w->endpoint_count(); ++i)
     w->start_endpoint(i, false);
   w->start_nodes();
+  return first_archive;
 }
 
 // Stores an entry of another writer, of the form that the environment variable
@@ -1357,12 +1484,12 @@
   w->run(27500);
 }
 
-// All endpoints of the service crash and start again under their ids.
+// All endpoints of table-desk crash and start again under their ids.
 void same_id(world* w) {
-  add_kitakiroku(w, 1.0);
+  const size_t count = add_kitakiroku(w, 1.0);
   if (w->trouble()) {
     std::uniform_real_distribution<double> back(9500, 11000);
-    for (size_t i = 0; i < w->endpoint_count(); ++i) {
+    for (size_t i = 0; i < count; ++i) {
       w->at(8000, [w, i] { w->crash_endpoint(i); });
       w->at(back(w->random()), [w, i] { w->start_endpoint(i, true); });
     }
@@ -1370,6 +1497,40 @@
   w->run(16000);
 }
 
+// All endpoints of archive-shelf crash and start again under their ids while
+// the store is silent.
+void unseen_restart(world* w) {
+  const size_t first = add_kitakiroku(w, 0.5);
+  if (w->trouble()) {
+    w->at(8000, [w] { w->set_store_silent(true); });
+    for (size_t i = first; i < w->endpoint_count(); ++i) {
+      w->at(9000, [w, i] { w->crash_endpoint(i); });
+      w->at(9200, [w, i] { w->start_endpoint(i, true); });
+    }
+    w->at(12500, [w] { w->set_store_silent(false); });
+  }
+  w->run(16000);
+}
+
+// All endpoints of table-desk start again under their ids; then the store comes
+// back from a copy made before, while all processes start again.
+void restored_cold(world* w) {
+  const size_t count = add_kitakiroku(w, 1.0);
+  if (w->trouble()) {
+    for (size_t i = 0; i < count; ++i) {
+      w->at(8000, [w, i] { w->crash_endpoint(i); });
+      w->at(10500, [w, i] { w->start_endpoint(i, true); });
+    }
+    w->at(10600, [w] { w->set_store_silent(true); });
+    w->at(10900, [w] { w->restore_store(2000); });
+    for (size_t i = 0; i < w->node_count(); ++i) {
+      w->at(10600, [w, i] { w->kill_node(i, SIGKILL); });
+      w->at(11100, [w, i] { w->start_node(i); });
+    }
+  }
+  w->run(16000);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -1379,7 +1540,9 @@
   const std::map<std::string, void (*)(world*)> scenarios = {
       {"foreign-entry", foreign_entry},
       {"foreign-entry-restart", foreign_entry_restart},
-      {"same-id", same_id}};
+      {"same-id", same_id},
+      {"unseen-restart", unseen_restart},
+      {"restored-cold", restored_cold}};
   const auto scenario = scenarios.find(options["--scenario"]);
   if (scenario == scenarios.end() || options["--record"].empty() ||
       options["--tmp"].empty())
