--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -146,9 +146,34 @@
     changed_.notify_all();
   }
 
+  /** While muted, watches hear nothing. */
+  void set_muted(bool muted) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    muted_ = muted;
+    changed_.notify_all();
+  }
+
+  /** Drops the history and cuts the watches that wait. */
+  void forget_history() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    history_.clear();
+    history_start_ = revision_;
+    ++cuts_;
+    changed_.notify_all();
+  }
+
+  /** While silent, calls get no answer, and their connections stay silent. */
+  void set_silent(bool silent) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    silent_ = silent;
+    changed_.notify_all();
+  }
+
   uint16_t port = 0;
 
  private:
+  enum class outcome { ok, gone, cut, silent };
+
   static string object_json(const string& name, const store_object& object) {
     return "{\"meta\":{\"name\":\"" + name + "\",\"revision\":" +
            std::to_string(object.revision) +
@@ -170,17 +195,27 @@
                : strtoull(target.c_str() + at + name.size() + 1, nullptr, 10);
   }
 
-  string answer(const string& target) {
+  string answer(const string& target, outcome* result) {
     const string prefix = "/v1/objects/";
     const size_t query = target.find('?');
     const string kind = target.substr(
         prefix.size(),
         query == string::npos ? string::npos : query - prefix.size());
     std::unique_lock<std::mutex> lock(mutex_);
+    *result = silent_ ? outcome::silent : outcome::ok;
+    if (silent_)
+      return "";
     if (target.find("watch=") != string::npos) {
       const uint64_t since = parameter(target, "watch");
+      if (since < history_start_) {
+        *result = outcome::gone;
+        return "{}";
+      }
+      const uint64_t cuts = cuts_;
       const auto events = [&] {
         string out;
+        if (muted_)
+          return out;
         for (const auto& event : history_) {
           if (event.revision > since && event.kind == kind)
             out += (out.empty() ? "" : ",") + event.json;
@@ -190,9 +225,13 @@
       string found = events();
       const auto until = std::chrono::steady_clock::now() +
                          std::chrono::milliseconds(parameter(target, "wait_ms"));
-      while (found.empty() &&
+      while (found.empty() && cuts_ == cuts && !silent_ &&
              changed_.wait_until(lock, until) == std::cv_status::no_timeout)
         found = events();
+      if (cuts_ != cuts || silent_) {
+        *result = silent_ ? outcome::silent : outcome::cut;
+        return "";
+      }
       return "{\"events\":[" + found +
              "],\"store_revision\":" + std::to_string(revision_) + "}";
     }
@@ -223,9 +262,16 @@
           received.substr(first, received.find(' ', first) - first);
       received.erase(0, end + 4);
       std::this_thread::sleep_for(std::chrono::milliseconds(4));
-      const string body = answer(target);
+      outcome result = outcome::ok;
+      const string body = answer(target, &result);
+      if (result == outcome::silent)
+        return;  // The connection stays open and returns nothing further.
+      if (result == outcome::cut)
+        break;
       const string reply =
-          "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: "
+          string("HTTP/1.1 ") +
+          (result == outcome::gone ? "410 Gone" : "200 OK") +
+          "\r\nContent-Type: application/json\r\nStore-Era: "
           "1\r\nContent-Length: " +
           std::to_string(body.size()) + "\r\n\r\n" + body;
       if (send_all(fd, reply) < 0)
@@ -249,6 +295,10 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   uint64_t revision_ = 1;
+  uint64_t history_start_ = 0;  ///< Watches from before it get 410.
+  uint64_t cuts_ = 0;
+  bool muted_ = false;
+  bool silent_ = false;
   std::map<string, std::map<string, store_object>> objects_;
   std::deque<store_event> history_;
 };
@@ -1081,15 +1131,24 @@
                     "\"idle_timeout_ms\":15000}}");
 }
 
-/** Starts balancers in three zones, two services and their endpoints, and
- * waits until all balancers are ready. */
-void start_site(int balancers_a_zone, double notes_per_s, double archive_per_s) {
+/** Size of a site in three zones. */
+struct site_size {
+  int balancers = 1;  ///< In each zone.
+  int notes = 2;      ///< Endpoints in each zone.
+  double notes_per_s = 90;
+  double archive_per_s = 15;
+  double cold_per_s = 4;
+};
+
+/** Starts balancers, two services and their endpoints, and waits until all
+ * balancers are ready. */
+void start_site(const site_size& size) {
   site.zones = {"north", "east", "south"};
   choose_ports();
   the_store.start(ip_of(store_ip));
   int number = 0;
   for (const auto& zone : site.zones) {
-    for (int i = 0; i < balancers_a_zone; ++i) {
+    for (int i = 0; i < size.balancers; ++i) {
       auto b = std::make_unique<balancer>();
       b->zone = zone;
       b->name = "front-" + zone + "-" + std::to_string(i + 1);
@@ -1098,22 +1157,22 @@
     }
   }
   route notes{"r-notes", "notes", ip_of("127.9.5.1"), 8443};
-  notes.per_s = notes_per_s;
+  notes.per_s = size.notes_per_s;
   notes.kind = "unsafe";
   notes.priority = 1;
   route archive{"r-archive", "archive", ip_of("127.9.5.2"), 8443};
-  archive.per_s = archive_per_s;
+  archive.per_s = size.archive_per_s;
   archive.kind = "download";
   archive.work_s = 0.005;
   site.routes = {notes, archive};
   int id = 0;
   for (const auto& zone : site.zones) {
-    for (int i = 0; i < 2; ++i)
+    for (int i = 0; i < size.notes; ++i)
       site.add_endpoint(format("i-7f3a91%02x", ++id), "notes", zone);
     site.add_endpoint(format("i-7f3a91%02x", ++id), "archive", zone);
   }
   site.open_client_sockets();
-  put_config(7, 4.0);
+  put_config(7, size.cold_per_s);
   for (auto& e : site.endpoints)
     site.announce(e.get());
   for (auto& b : balancers)
@@ -1258,6 +1317,90 @@
   return foreign != 0;
 }
 
+/** A zone is evacuated for 5 s. With the disruption, the evacuation begins in
+ * the second in which watches hear nothing before the store drops its history,
+ * and the store is silent from then on until the operator takes it back. */
+bool play_unheard_evacuation(bool trouble) {
+  constexpr double compact_at = 8, evacuate_at = 8.5, cut_at = 9;
+  constexpr double silent_end = 13.5, end = 20, cold_s = 2;
+  constexpr double bound = 0.0 * 1.5 + 5;
+  const string zone = "north";
+  int step = 0;
+  bool silent = false;
+  site.on_beat = [&](endpoint* e) {
+    if (!silent)
+      site.announce(e);
+  };
+  const std::vector<std::pair<double, std::function<void()>>> steps = {
+      {compact_at,
+       [&] {
+         record(trouble ? "store: watches hear nothing" : "no disruption");
+         the_store.set_muted(trouble);
+       }},
+      {evacuate_at,
+       [&] {
+         the_store.put("evacuations", zone, "{}");
+         record("store: evacuation of " + zone + " acknowledged");
+       }},
+      {cut_at,
+       [&] {
+         if (!trouble)
+           return;
+         the_store.forget_history();
+         the_store.set_silent(silent = true);
+         the_store.set_muted(false);
+         record("store: history dropped, watches cut, silent");
+       }},
+      {silent_end, [&] {
+         if (trouble)
+           record("store: answers again");
+         the_store.set_silent(silent = false);
+         for (auto& e : site.endpoints) {
+           if (e->zone != zone)
+             continue;
+           e->cold_until = now_s() + cold_s;
+           site.announce(e.get());
+         }
+         the_store.remove("evacuations", zone);
+         record("store: evacuation of " + zone +
+                " taken back, its endpoints are cold");
+       }}};
+  site.play(end, [&] {
+    while (step < static_cast<int>(steps.size()) &&
+           now_s() >= steps[static_cast<size_t>(step)].first)
+      steps[static_cast<size_t>(step++)].second();
+  });
+  size_t worst = 0, broken = 0;
+  for (const auto& e : site.endpoints) {
+    std::vector<std::pair<double, double>> openings;  // Arrived, sent.
+    for (const auto& run : site.runs) {
+      if (run.endpoint == e->id && run.at < e->cold_until &&
+          run.at >= e->cold_until - cold_s)
+        openings.push_back({run.at, site.sent_time[run.request]});
+    }
+    size_t most = 0;
+    for (const auto& first : openings) {
+      const auto inside = [&](const auto& o) {
+        return o.second >= first.second && o.first < first.second + 1;
+      };
+      most = std::max(most, static_cast<size_t>(std::count_if(
+                                openings.begin(), openings.end(), inside)));
+    }
+    if (e->cold_until != 0)
+      record(format("cold endpoint %s of %s: at most %zu requests in a second",
+                    e->id.c_str(), e->service.c_str(), most));
+    worst = std::max(worst, most);
+    broken += static_cast<double>(most) > bound ? 1 : 0;
+  }
+  const string result = format(
+      "cold endpoints above the bound of %.0f: %zu; most requests in a second: "
+      "%zu",
+      bound, broken, worst);
+  record(result);
+  printf("%s\n", result.c_str());
+  return broken != 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -1273,11 +1416,20 @@
   folder = pattern;
   bool broken = false;
   if (scenario == "paused-collector") {
-    start_site(1, 90, 15);
+    start_site({});
     broken = play_paused_collector(trouble);
   } else if (scenario == "missing-fields") {
-    start_site(1, 90, 15);
+    start_site({});
     broken = play_entry_with_missing_fields(trouble);
+  } else if (scenario == "unheard-evacuation") {
+    site_size size;
+    size.balancers = 2;
+    size.notes = 5;
+    size.notes_per_s = 376;
+    size.archive_per_s = 25;
+    size.cold_per_s = 0;
+    start_site(size);
+    broken = play_unheard_evacuation(trouble);
   } else {
     cannot_run("unknown scenario " + scenario);
   }
