--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -46,7 +46,9 @@
 }
 double start_s = monotonic_s();
 /** Seconds since the start of this program. */
-double now_s() { return monotonic_s() - start_s; }
+double now_s() {
+  return monotonic_s() - start_s;
+}
 
 string format(const char* pattern, ...) {
   char buffer[4096];
@@ -175,8 +177,8 @@
   enum class outcome { ok, gone, cut, silent };
 
   static string object_json(const string& name, const store_object& object) {
-    return "{\"meta\":{\"name\":\"" + name + "\",\"revision\":" +
-           std::to_string(object.revision) +
+    return "{\"meta\":{\"name\":\"" + name +
+           "\",\"revision\":" + std::to_string(object.revision) +
            ",\"created_rev\":" + std::to_string(object.created) +
            ",\"finalizers\":[],\"deleting\":false},\"spec\":" + object.spec +
            ",\"status\":null}";
@@ -223,8 +225,9 @@
         return out;
       };
       string found = events();
-      const auto until = std::chrono::steady_clock::now() +
-                         std::chrono::milliseconds(parameter(target, "wait_ms"));
+      const auto until =
+          std::chrono::steady_clock::now() +
+          std::chrono::milliseconds(parameter(target, "wait_ms"));
       while (found.empty() && cuts_ == cuts && !silent_ &&
              changed_.wait_until(lock, until) == std::cv_status::no_timeout)
         found = events();
@@ -238,8 +241,7 @@
     string items;
     for (const auto& [name, object] : objects_[kind])
       items += (items.empty() ? "" : ",") + object_json(name, object);
-    return "{\"items\":[" + items +
-           "],\"has_more\":false,\"store_revision\":" +
+    return "{\"items\":[" + items + "],\"has_more\":false,\"store_revision\":" +
            std::to_string(revision_) + "}";
   }
 
@@ -268,12 +270,11 @@
         return;  // The connection stays open and returns nothing further.
       if (result == outcome::cut)
         break;
-      const string reply =
-          string("HTTP/1.1 ") +
-          (result == outcome::gone ? "410 Gone" : "200 OK") +
-          "\r\nContent-Type: application/json\r\nStore-Era: "
-          "1\r\nContent-Length: " +
-          std::to_string(body.size()) + "\r\n\r\n" + body;
+      const string reply = string("HTTP/1.1 ") +
+                           (result == outcome::gone ? "410 Gone" : "200 OK") +
+                           "\r\nContent-Type: application/json\r\nStore-Era: "
+                           "1\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body;
       if (send_all(fd, reply) < 0)
         break;
     }
@@ -429,10 +430,9 @@
     dup2(ends[1], STDOUT_FILENO);
     dup2(ends[1], STDERR_FILENO);
     char* const arguments[] = {const_cast<char*>(program.c_str()), nullptr};
-    char* const environment[] = {
-        const_cast<char*>("PATH=/usr/bin:/bin"),
-        const_cast<char*>(home.c_str()), const_cast<char*>(setting.c_str()),
-        nullptr};
+    char* const environment[] = {const_cast<char*>("PATH=/usr/bin:/bin"),
+                                 const_cast<char*>(home.c_str()),
+                                 const_cast<char*>(setting.c_str()), nullptr};
     execve(program.c_str(), arguments, environment);
     _exit(127);
   }
@@ -584,11 +584,11 @@
 using flow_id = std::tuple<uint32_t, uint16_t, uint32_t, uint16_t>;
 
 struct served_flow {
-  uint32_t own = 0;      ///< Sequence number of the SYN+ACK.
+  uint32_t own = 0;  ///< Sequence number of the SYN+ACK.
   uint32_t echo = 0;
   bool open = false;
   bool queued = false;
-  string answer;         ///< Data of the answer, once there.
+  string answer;  ///< Data of the answer, once there.
   double done_at = 0;
   double sent_at = 0;
   double wait = 0.2;
@@ -669,17 +669,18 @@
   std::vector<run_event> runs;
   bool traffic = false;
 
-  void add_endpoint(const string& id, const string& service,
+  void add_endpoint(const string& id,
+                    const string& service,
                     const string& zone) {
     auto e = std::make_unique<endpoint>();
     e->id = id;
     for (const char c : id) {
       if (isxdigit(static_cast<unsigned char>(c)) != 0)
-        e->number = e->number << 4 |
-                    static_cast<uint64_t>(
-                        isdigit(static_cast<unsigned char>(c)) != 0
-                            ? c - '0'
-                            : tolower(c) - 'a' + 10);
+        e->number =
+            e->number << 4 |
+            static_cast<uint64_t>(isdigit(static_cast<unsigned char>(c)) != 0
+                                      ? c - '0'
+                                      : tolower(c) - 'a' + 10);
     }
     e->service = service;
     e->zone = zone;
@@ -741,7 +742,8 @@
   static uint64_t announced_seq(endpoint* e) { return e->beat / 1000; }
 
   static int udp(uint32_t ip, uint16_t port) {
-    const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int fd =
+        socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const sockaddr_in a = address_of(ip, port);
     const int size = 1 << 20;
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
@@ -772,8 +774,12 @@
     }
   }
 
-  void to_client(endpoint* e, const flow_id& id, uint8_t flags,
-                 uint32_t sequence, uint32_t acknowledged, uint32_t echo,
+  void to_client(endpoint* e,
+                 const flow_id& id,
+                 uint8_t flags,
+                 uint32_t sequence,
+                 uint32_t acknowledged,
+                 uint32_t echo,
                  const string& data) {
     packet p;
     p.flags = flags;
@@ -971,8 +977,7 @@
     next_open_.resize(routes.size() * zones.size(), 0.0);
     for (size_t r = 0; r < routes.size(); ++r) {
       for (size_t z = 0; z < zones.size(); ++z) {
-        const double rate =
-            routes[r].per_s / static_cast<double>(zones.size());
+        const double rate = routes[r].per_s / static_cast<double>(zones.size());
         double& next = next_open_[r * zones.size() + z];
         if (rate <= 0)
           continue;
@@ -1052,7 +1057,8 @@
       if (f.connected)
         return;
       ++resets;
-      record(format("refused %llu", static_cast<unsigned long long>(f.request)));
+      record(
+          format("refused %llu", static_cast<unsigned long long>(f.request)));
       flows_.erase(it);
       return;
     }
@@ -1204,7 +1210,8 @@
     if (b->process > 0 && !b->ended &&
         waitpid(b->process, &status, WNOHANG) == b->process) {
       b->ended = true;
-      record(format("process %s ended with status %d", b->name.c_str(), status));
+      record(
+          format("process %s ended with status %d", b->name.c_str(), status));
       out = true;
     }
   }
@@ -1248,11 +1255,9 @@
       record(paused ? "collector of the output pauses"
                     : "collector of the output goes on");
     }
-    const auto unready =
-        static_cast<size_t>(std::count_if(balancers.begin(), balancers.end(),
-                                          [](const auto& b) {
-                                            return !b->in_rotation;
-                                          }));
+    const auto unready = static_cast<size_t>(
+        std::count_if(balancers.begin(), balancers.end(),
+                      [](const auto& b) { return !b->in_rotation; }));
     most_unready = std::max(most_unready, unready);
   });
   uint64_t sent = 0, served = 0;
