--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -33,6 +33,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -1228,45 +1229,66 @@
 
 // -------------------------------------------------------------- scenarios
 
-/** Another writer keeps an entry whose state is a long error text; at 6 s the
- * collector of the processes' output pauses for 20 s. */
+/** Keeps an entry of another writer whose state is a long error text, written
+ * again at each heartbeat. */
+class long_entry_writer {
+ public:
+  void step(double now) {
+    if (now < next_)
+      return;
+    next_ = now + site.heartbeat_s;
+    the_store.put("servers", "i-0badc0de",
+                  "{\"service\":\"notes\",\"address\":\"127.9.3.200:" +
+                      std::to_string(packet_port + 19) +
+                      "\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":2,"
+                      "\"state\":\"failed: " +
+                      text_ + "\",\"cold_left_ms\":0,\"seq\":" +
+                      std::to_string(++seq_) + "}");
+    record("store: another writer wrote servers/i-0badc0de");
+  }
+
+ private:
+  const string text_ = string(100 * 1024, 'x');
+  double next_ = 3;
+  int seq_ = 0;
+};
+
+void set_collector_paused(bool paused) {
+  if (paused == collector_stalled)
+    return;
+  collector_stalled = paused;
+  record(paused ? "collector of the output pauses"
+                : "collector of the output goes on");
+}
+
+/** Counts the requests sent from @p from on and before @p to. */
+void count_requests(double from, double to, uint64_t* sent, uint64_t* served) {
+  for (const auto& [request, at] : site.sent_time) {
+    if (at < from || at >= to)
+      continue;
+    ++*sent;
+    *served += site.answered_time.count(request);
+  }
+}
+
+/** At 6 s the collector of the processes' output pauses for 20 s. With the
+ * disruption, another writer keeps its long entry. */
 bool play_paused_collector(bool trouble) {
   constexpr double pause_at = 6, pause_end = 26, end = 32;
-  const string text(100 * 1024, 'x');
-  double next_entry = 3;
-  int seq = 0;
+  long_entry_writer writer;
   size_t most_unready = 0;
   site.play(end, [&] {
     const double now = now_s();
-    if (trouble && now >= next_entry) {
-      next_entry = now + site.heartbeat_s;
-      the_store.put("servers", "i-0badc0de",
-                    "{\"service\":\"notes\",\"address\":\"127.9.3.200:" +
-                        std::to_string(packet_port + 19) +
-                        "\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":2,"
-                        "\"state\":\"failed: " +
-                        text + "\",\"cold_left_ms\":0,\"seq\":" +
-                        std::to_string(++seq) + "}");
-      record("store: another writer wrote servers/i-0badc0de");
-    }
-    const bool paused = now >= pause_at && now < pause_end;
-    if (paused != collector_stalled) {
-      collector_stalled = paused;
-      record(paused ? "collector of the output pauses"
-                    : "collector of the output goes on");
-    }
+    if (trouble)
+      writer.step(now);
+    set_collector_paused(now >= pause_at && now < pause_end);
     const auto unready = static_cast<size_t>(
         std::count_if(balancers.begin(), balancers.end(),
                       [](const auto& b) { return !b->in_rotation; }));
     most_unready = std::max(most_unready, unready);
   });
   uint64_t sent = 0, served = 0;
-  for (const auto& [request, at] : site.sent_time) {
-    if (at < pause_at + 5 || at >= pause_end - 3)
-      continue;
-    ++sent;
-    served += site.answered_time.count(request);
-  }
+  count_requests(pause_at + 5, pause_end - 3, &sent, &served);
   const bool ended = process_ended();
   const string result = format(
       "in 12 s of the pause: sent %llu, served %llu; most balancers that did "
@@ -1279,6 +1301,47 @@
   return ended || (sent > 0 && served == 0);
 }
 
+/** The collector pauses at 6 s, for good. At 8 s all processes are killed; they
+ * start again at 9 s. With the disruption, another writer keeps its long entry.
+ */
+bool play_paused_collector_restart(bool trouble) {
+  constexpr double pause_at = 6, kill_at = 8, back_at = 9;
+  constexpr double recovery_s = 12, end = back_at + recovery_s + 12;
+  long_entry_writer writer;
+  bool killed = false, back = false;
+  site.play(end, [&] {
+    const double now = now_s();
+    if (trouble)
+      writer.step(now);
+    set_collector_paused(now >= pause_at);
+    if (now >= kill_at && !std::exchange(killed, true)) {
+      for (auto& b : balancers) {
+        kill(b->process, SIGKILL);
+        waitpid(b->process, nullptr, 0);
+        close(b->output);
+        record("process " + b->name + " killed");
+      }
+    }
+    if (now >= back_at && !std::exchange(back, true)) {
+      for (auto& b : balancers)
+        start_balancer(b.get(), false);
+    }
+  });
+  uint64_t sent_before = 0, served_before = 0, sent = 0, served = 0;
+  count_requests(2, pause_at, &sent_before, &served_before);
+  count_requests(back_at + recovery_s, end - 3, &sent, &served);
+  const string result = format(
+      "before the kill: sent %llu, served %llu; from 12 s after the "
+      "restart: sent %llu, served %llu",
+      static_cast<unsigned long long>(sent_before),
+      static_cast<unsigned long long>(served_before),
+      static_cast<unsigned long long>(sent),
+      static_cast<unsigned long long>(served));
+  record(result);
+  printf("%s\n", result.c_str());
+  return served_before * 4 >= sent_before && served * 4 < sent;
+}
+
 /** Another writer, an agent of the machine's former use, writes the entry of an
  * endpoint of `archive` as one of `notes`, with fields missing: at 5, 11 and
  * 17 s. The endpoint writes its own entry again at its next heartbeat. */
@@ -1423,6 +1486,9 @@
   if (scenario == "paused-collector") {
     start_site({});
     broken = play_paused_collector(trouble);
+  } else if (scenario == "paused-collector-restart") {
+    start_site({});
+    broken = play_paused_collector_restart(trouble);
   } else if (scenario == "missing-fields") {
     start_site({});
     broken = play_entry_with_missing_fields(trouble);
